--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -139,6 +139,18 @@
     serde_json::from_str(&read(&path)?).map_err(|e| StartError::Content(path, e.to_string()))
 }
 
+/// Moves the links to where the configuration says now. A file that cannot be used changes nothing: it may be
+/// half written, and a program that ends or loses its links on SIGHUP loses every request it holds.
+fn reload(peers: &links::Peers) {
+    match configuration() {
+        Ok(Config { engine, store, members, .. }) => {
+            peers.set(engine, store, members);
+            log(format_args!("reloaded engine={engine} store={store} members={members}"));
+        }
+        Err(error) => log(format_args!("reload-failed addresses=kept {error}")),
+    }
+}
+
 fn listen(what: &'static str, address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
     let bound = Async::<TcpListener>::bind(address).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
     bound.map(|(address, listener)| (listener, address)).map_err(|e| StartError::System(what, e))
@@ -172,10 +184,13 @@
     let status = Rc::new(Status::default());
     let counters = Rc::new(Counters::default());
     let (queue, inputs) = async_channel::bounded(QUEUE);
+    let executor = Rc::new(LocalExecutor::new());
+    let peers = Rc::new(links::Peers::new(config.engine, config.store, config.members));
     let engine = Rc::new(links::EngineLink::default());
-    let store = Rc::new(links::StoreLink::default());
+    let parts = (peers.clone(), queue.clone(), clock.clone(), counters.clone(), executor.clone());
+    let store = Rc::new(links::StoreLink::new(parts.0, parts.1, parts.2, parts.3, parts.4));
     let (listener, address) = listen("listen", config.listen)?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
         .map_err(|e| StartError::System("signals", e))?;
     let core = Core::new(Parts {
         site: site.clone(),
@@ -186,7 +201,7 @@
         status: status.clone(),
         counters: counters.clone(),
         engine: engine.clone(),
-        store: store.clone(),
+        store,
     });
     let front = Rc::new(Front {
         site,
@@ -196,7 +211,6 @@
         queue: queue.clone(),
         room: Room::new(connections),
     });
-    let executor = Rc::new(LocalExecutor::new());
     if let Some(Ajp { listen, secret, mem_kb }) = edge.ajp {
         let (listener, address) = self::listen("ajp", listen)?;
         log(format_args!("ajp listen={address}"));
@@ -207,11 +221,16 @@
         executor.spawn(node::listen("ajp", listener, most, front.clone(), executor.clone(), serve)).detach();
     }
     let on_signal = {
-        let (queue, counters) = (queue.clone(), counters.clone());
+        let (queue, counters, peers, status) =
+            (queue.clone(), counters.clone(), peers.clone(), status.clone());
         async move {
             while let Some(signal) = signals.next().await {
                 match signal {
                     Ok(Signal::Usr1) => counters.print(),
+                    Ok(Signal::Hup) => {
+                        reload(&peers);
+                        status.report.wake();
+                    }
                     _ => {
                         let _ = queue.send(Input::Leave).await;
                     }
@@ -220,11 +239,8 @@
         }
     };
     executor.spawn(on_signal).detach();
-    executor.spawn(links::engine(config.engine, engine, queue.clone(), clock.clone())).detach();
-    executor
-        .spawn(links::store(config.store, store, queue.clone(), clock.clone(), counters.clone()))
-        .detach();
-    let members = links::members(config.members, name.clone(), status, clock.clone(), counters.clone());
+    executor.spawn(links::engine(peers.clone(), engine, queue.clone(), clock.clone())).detach();
+    let members = links::members(peers, name.clone(), status, clock.clone(), counters.clone());
     executor.spawn(or_off("members", members)).detach();
     let target = |address, every_s: f64| match every_s {
         s if s >= 0.1 && s.is_finite() => Ok(Target { address, host: name.clone(), every_ms: s * 1000.0 }),
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -11,7 +11,7 @@
 
 use super::core::{Arrival, Caller, Input, Reply};
 use super::observe::count;
-use super::rpc::BODY_MOST;
+use super::rpc::{BODY_MOST, EST_MOST, MEM_BELOW_KB};
 use super::{Ended, Front, Signal, Writer};
 use crate::Effect;
 use crate::settings::Site;
@@ -279,11 +279,19 @@
         if site.settings.classes[class].effect == Effect::Keyed && token.is_none() {
             return Err(Status(400));
         }
+        let est_ms = self.number("est")?;
+        let mem_kb = self.number("mem")?;
+        let est_below = site.settings.classes[class].deadline_ms * EST_MOST;
+        // As strict as the other front: what is out of range is not clamped, it is nobody's figure.
+        let out_of = |value: Option<f64>, below: f64| value.is_some_and(|v| v <= 0.0 || v >= below);
+        if out_of(est_ms, est_below) || out_of(mem_kb, MEM_BELOW_KB) {
+            return Err(Status(400));
+        }
         Ok(Head {
             class,
             again: self.header("again")? == Some("1"),
-            est_ms: self.number("est")?.filter(|v| *v > 0.0),
-            mem_kb: self.number("mem")?.filter(|v| *v > 0.0 && *v < 2000.0),
+            est_ms,
+            mem_kb,
             token: token.map(str::to_owned),
             subject: self.word("obj")?.map(str::to_owned),
         })
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -3,7 +3,9 @@
 //! queue of each caller. It must never know a wire, wait for a socket, or decide what the module decides:
 //! it only makes sure that each request read gets one answer and that no key runs twice.
 
+use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::BuildHasher;
 use std::rc::Rc;
 
 use async_channel::Receiver;
@@ -31,6 +33,12 @@
 const KEY_AFTERLIFE_MS: f64 = 15_000.0;
 /// Between two clearings of the key table, ms.
 const KEY_SWEEP_MS: f64 = 1000.0;
+/// How far ahead of the clock a request may say it came, ms, and how many times its class's time, and this much
+/// more, it may have lain unread. What says otherwise is no router's, and would stretch due times and keys'
+/// windows without end, or pass for a jam that no one could have read through.
+const AHEAD_MOST_MS: f64 = 1000.0;
+const UNREAD_MOST: f64 = 2.0;
+const UNREAD_MORE_MS: f64 = 1000.0;
 /// Part of the process memory that kept results may take; past it a repeat is failed, still never run.
 const RESULTS_PART: f64 = 0.25;
 
@@ -159,13 +167,17 @@
     due_ms: f64,
     key: Option<Key>,
     body: Vec<u8>,
+    /// Digest of the body, for tries of one key.
+    digest: u64,
     phase: Phase,
     /// The kept try whose result it asks for.
     repeats: Option<u32>,
     /// What the call is to carry.
     need: Vec<u8>,
-    /// A reply of the store that was never written to the engine, as there was no link.
+    /// The reply of the store to the last call, until a later notice shows that the engine has it, and how
+    /// many times gauges had been asked for when it was written; nothing there if it was not.
     feed: Option<Vec<u8>>,
+    fed: Option<u64>,
     called_ms: f64,
     /// How many times gauges had been asked for when the last command about it was written.
     commanded: u64,
@@ -184,6 +196,8 @@
 
 struct Kept {
     holder: u32,
+    /// Digest of the holder's body: all tries of one request carry the same.
+    digest: u64,
     until: f64,
     /// The try that was started, and the end of the window in which no other may be.
     ran: Option<(u32, f64)>,
@@ -244,6 +258,8 @@
     idle_ms: Option<f64>,
     leave_ms: Option<f64>,
     instant_keys: Vec<Key>,
+    /// Seeded anew in each process, so that nobody can make two bodies alike.
+    digests: RandomState,
 }
 
 impl Core {
@@ -273,6 +289,7 @@
             idle_ms: None,
             leave_ms: None,
             instant_keys: Vec::new(),
+            digests: RandomState::new(),
         }
     }
 
@@ -370,7 +387,7 @@
         count(&self.parts.counters.requests);
         let class = &self.parts.site.settings.classes[arrival.class];
         let name = match class.effect {
-            Effect::Keyed => arrival.token,
+            Effect::Keyed => arrival.token.clone(),
             Effect::Read if self.parts.site.settings.fresh_ms > 0.0 => arrival.subject.clone(),
             _ => None,
         };
@@ -378,8 +395,13 @@
         let due_ms = arrival.t0 + class.deadline_ms;
         // Without a module nothing runs, and a name in use would mix up two runs: neither try has run.
         if self.controller.is_none() || self.by_rid.contains_key(&arrival.rid) {
-            count(&self.parts.counters.refused);
-            arrival.caller.answer(arrival.ticket, &Reply::Refused { backoff_ms: 0.0, last: false });
+            self.turn_back(&arrival, &Reply::Refused { backoff_ms: 0.0, last: false });
+            return;
+        }
+        let unread_most = class.deadline_ms * UNREAD_MOST + UNREAD_MORE_MS;
+        if !(-AHEAD_MOST_MS..=unread_most).contains(&(now - arrival.t0)) {
+            count(&self.parts.counters.bad_times);
+            self.turn_back(&arrival, &Reply::Failed { late: false });
             return;
         }
         if let Some(key) = &key {
@@ -389,6 +411,14 @@
             }
             self.instant_keys.push(key.clone());
         }
+        let digest = self.digests.hash_one(&arrival.body);
+        // Another request under a known key: its sender must not get what was made of the first, nor run.
+        let other = |key| self.kept_try(key, arrival.t0).is_some() && self.keys[key].digest != digest;
+        if key.as_ref().is_some_and(other) {
+            count(&self.parts.counters.refused_bodies);
+            self.turn_back(&arrival, &Reply::Failed { late: false });
+            return;
+        }
         self.next_id += 1;
         let id = self.next_id;
         let repeats = key.as_ref().and_then(|key| self.kept_try(key, arrival.t0));
@@ -420,10 +450,12 @@
             due_ms,
             key,
             body: arrival.body,
+            digest,
             phase: Phase::Held,
             repeats,
             need: Vec::new(),
             feed: None,
+            fed: None,
             called_ms: 0.0,
             commanded: 0,
             halted: false,
@@ -432,6 +464,20 @@
         self.tell(now, Event::Arrived(request));
     }
 
+    /// Answers a request that the module does not get to see.
+    fn turn_back(&self, arrival: &Arrival, reply: &Reply) {
+        self.count_answer(reply);
+        arrival.caller.answer(arrival.ticket, reply);
+    }
+
+    fn count_answer(&self, reply: &Reply) {
+        count(match reply {
+            Reply::Served(_) => &self.parts.counters.served,
+            Reply::Refused { .. } => &self.parts.counters.refused,
+            Reply::Failed { .. } => &self.parts.counters.failed,
+        });
+    }
+
     /// The try that a request with this key repeats, if it reached the machine while the entry lived.
     fn kept_try(&self, key: &Key, t0: f64) -> Option<u32> {
         let kept = self.keys.get(key)?;
@@ -483,16 +529,18 @@
     }
 
     /// Sends again what the engine may not have seen: beginning a run that runs, and stopping one, change
-    /// nothing the second time. A reply to a call is not sent twice, as the run may wait for another by now.
+    /// nothing the second time.
     fn resend(&mut self) {
         for open in self.open.values_mut() {
-            if let Some(reply) = open.feed.take() {
-                self.parts.engine.feed(&open.rid, &reply);
-                open.commanded = self.asks;
-            } else if open.commanded >= self.acked && open.halted {
+            let unread = |asks: u64| asks >= self.acked;
+            if let Some(reply) = open.feed.as_ref().filter(|_| open.fed.is_none_or(unread)) {
+                log(format_args!("refeed rid={} doubt={}", open.rid, open.fed.is_some()));
+                self.parts.engine.feed(&open.rid, reply);
+                open.fed = Some(self.asks);
+            } else if unread(open.commanded) && open.halted {
                 self.parts.engine.halt(&open.rid);
                 open.commanded = self.asks;
-            } else if open.commanded >= self.acked && open.phase == Phase::Running {
+            } else if unread(open.commanded) && open.phase == Phase::Running {
                 let name = class_name(&self.parts.site, open.class);
                 self.parts.engine.run(&open.rid, name, &open.body);
                 open.commanded = self.asks;
@@ -603,13 +651,11 @@
             (Outcome::Done, Some(reply)) => {
                 count(&self.parts.counters.calls_done);
                 open.phase = Phase::Running;
-                if self.engine_up && self.barrier.is_none() {
-                    self.parts.engine.feed(&open.rid, &reply);
-                    // Acknowledged by nothing to resend: a second RUN would be harmless, a second FEED not.
-                    open.commanded = 0;
-                } else {
-                    open.feed = Some(reply);
-                }
+                // A link that was left a moment ago takes nothing, and the core hears of it behind this.
+                let linked = self.engine_up && self.barrier.is_none();
+                open.fed = (linked && self.parts.engine.feed(&open.rid, &reply)).then_some(self.asks);
+                open.feed = Some(reply);
+                open.commanded = 0;
             }
             _ => {
                 count(&self.parts.counters.calls_failed);
@@ -765,7 +811,8 @@
                     count(&self.parts.counters.calls);
                     open.phase = Phase::Calling;
                     open.called_ms = now;
-                    self.parts.store.call(&open.rid, patience_ms, &open.need);
+                    let once = self.parts.site.settings.classes[open.class].effect != Effect::Read;
+                    self.parts.store.call(&open.rid, patience_ms, &open.need, once);
                 }
             }
             Action::Remember { id, for_ms } => self.remember(now, id, for_ms),
@@ -797,8 +844,10 @@
         let class = &self.parts.site.settings.classes[open.class];
         if let (Effect::Keyed, Some(key)) = (class.effect, &open.key) {
             let window = (id, open.t0 + class.key_window_ms + 1.0);
+            let digest = open.digest;
             let kept = self.keys.entry(key.clone()).or_insert_with(|| Kept {
                 holder: id,
+                digest,
                 until: window.1,
                 ran: None,
                 result: TryResult::Pending,
@@ -816,6 +865,7 @@
                 self.kept_bytes -= bytes.len();
             }
             kept.ran = Some(window);
+            kept.digest = digest;
         }
         open.phase = Phase::Running;
         open.commanded = self.asks;
@@ -828,16 +878,16 @@
     fn remember(&mut self, now: f64, id: u32, for_ms: f64) {
         let Some(open) = self.open.get(&id) else { return };
         let Some(key) = open.key.clone() else { return };
-        let until = now + for_ms;
+        let (until, digest) = (now + for_ms, open.digest);
         match self.keys.get_mut(&key) {
             Some(kept) => {
                 kept.holder = id;
                 kept.until = until;
+                kept.digest = digest;
             }
             None => {
-                let kept =
-                    Kept { holder: id, until, ran: None, result: TryResult::Pending, waiters: Vec::new() };
-                self.keys.insert(key, kept);
+                let (result, waiters) = (TryResult::Pending, Vec::new());
+                self.keys.insert(key, Kept { holder: id, digest, until, ran: None, result, waiters });
             }
         }
     }
@@ -863,12 +913,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(caller) = open.caller.take() else { return };
         self.by_ticket.remove(&(open.caller_id, open.ticket));
-        count(match reply {
-            Reply::Served(_) => &self.parts.counters.served,
-            Reply::Refused { .. } => &self.parts.counters.refused,
-            Reply::Failed { .. } => &self.parts.counters.failed,
-        });
-        caller.answer(open.ticket, &reply);
+        let ticket = open.ticket;
+        self.count_answer(&reply);
+        caller.answer(ticket, &reply);
     }
 
     /// After an answer: what never ran is over.
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -3,12 +3,13 @@
 //! What a broken link leaves uncertain is told to the core as just that.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::rc::Rc;
 
 use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
@@ -27,11 +28,52 @@
 const RETRY_MOST_MS: f64 = 500.0;
 /// Wait for a connection, ms: longer than any loopback takes, and short beside what callers wait.
 const CONNECT_MS: f64 = 1000.0;
-/// Idle time after which a connection to the store is closed from here, ms. The store closes after 10 s; a
-/// call written into that close would end uncertain, so this side is always first.
-const STORE_IDLE_MS: f64 = 8000.0;
-/// Between two reports to the membership service, ms: an entry lapses after 3 s.
-const REPORT_MS: f64 = 700.0;
+/// Idle time after which a connection to the store is not used again, ms. The store closes or forgets idle ones
+/// long before the 10 s it promises; a call written into that ends uncertain.
+const STORE_IDLE_MS: f64 = 500.0;
+/// Wait for the reply to a call after the store should have said `LATE`, ms.
+const CALL_MARGIN_MS: f64 = 100.0;
+/// Replies under other names that are passed over before the one that is waited for.
+const FOREIGN_MOST: u32 = 16;
+/// Between two reports to the membership service, ms: an entry lapses after 3 s, and reports get lost. With a
+/// quarter lost one entry in 250 would lapse at four reports in that time; at a dozen none does.
+const REPORT_MS: f64 = 250.0;
+/// The gauges that a link which is to be left asks for last, and the wait for them, ms: they prove that every
+/// command before them was read. An address that is given up closes its connections after 1.5 s.
+const LAST_TAG: u64 = 0;
+const LEAVE_MS: f64 = 1000.0;
+
+/// Where the three services are. A reload moves them while the links are in use.
+#[derive(Debug)]
+pub struct Peers {
+    engine: Cell<SocketAddr>,
+    store: Cell<SocketAddr>,
+    members: Cell<SocketAddr>,
+    moved: Signal,
+}
+
+impl Peers {
+    /// The addresses as the program starts.
+    pub fn new(engine: SocketAddr, store: SocketAddr, members: SocketAddr) -> Self {
+        let (engine, store, members) = (Cell::new(engine), Cell::new(store), Cell::new(members));
+        Peers { engine, store, members, moved: Signal::default() }
+    }
+
+    /// Moves all three at once. Open calls to the store end where they are.
+    pub fn set(&self, engine: SocketAddr, store: SocketAddr, members: SocketAddr) {
+        self.engine.set(engine);
+        self.store.set(store);
+        self.members.set(members);
+        self.moved.wake();
+    }
+
+    /// Completes when the engine is no longer at this address.
+    async fn engine_left(&self, address: SocketAddr) {
+        while self.engine.get() == address {
+            self.moved.wait().await;
+        }
+    }
+}
 
 // ---- lines ----
 
@@ -72,7 +114,9 @@
         return if input.len() >= LINE_MOST { Err(LineError::TooLong) } else { Ok(None) };
     };
     let Some(text) = input[..end].strip_suffix(b"\r") else { return Err(LineError::Malformed) };
-    if text.is_empty() || !text.iter().all(|b| (b' '..=b'~').contains(b)) {
+    // What a remark says is nobody's business: it must not end the link.
+    let remark = text.starts_with(b"NOTE ");
+    if text.is_empty() || !(remark || text.iter().all(|b| (b' '..=b'~').contains(b))) {
         return Err(LineError::Malformed);
     }
     let words: Vec<String> =
@@ -119,10 +163,12 @@
 }
 
 impl EngineLink {
-    fn command(&self, fill: impl FnOnce(&mut Vec<u8>)) {
+    /// Whether there is a link that the command goes to.
+    fn command(&self, fill: impl FnOnce(&mut Vec<u8>)) -> bool {
         if self.up.get() {
             self.outbox.push(fill);
         }
+        self.up.get()
     }
 
     /// Begins a run.
@@ -135,9 +181,9 @@
         self.command(|out| out.extend_from_slice(format!("HALT {rid}\r\n").as_bytes()));
     }
 
-    /// Hands a run the reply to its call.
-    pub fn feed(&self, rid: &str, reply: &[u8]) {
-        self.command(|out| with_body(out, &format!("FEED {rid}"), reply));
+    /// Hands a run the reply to its call; tells whether there is a link that it goes to.
+    pub fn feed(&self, rid: &str, reply: &[u8]) -> bool {
+        self.command(|out| with_body(out, &format!("FEED {rid}"), reply))
     }
 
     /// Asks for the gauges.
@@ -152,13 +198,14 @@
     out.extend_from_slice(b"\r\n");
 }
 
-/// Keeps the engine's link up for ever.
-pub async fn engine(address: SocketAddr, link: Rc<EngineLink>, queue: Sender<Input>, clock: Clock) {
-    // Notices up to this one were read; the engine sends what came after it once more.
+/// Keeps the engine's link up for ever, wherever the engine is.
+pub async fn engine(peers: Rc<Peers>, link: Rc<EngineLink>, queue: Sender<Input>, clock: Clock) {
+    // Notices up to this one reached the core; the engine sends what came after it once more.
     let mut last = 0;
     let mut retry = RETRY_MS;
     loop {
         let began = clock.now();
+        let address = peers.engine.get();
         let reason = match connect(address, &clock).await {
             Ok(stream) => {
                 link.outbox.clear();
@@ -170,7 +217,20 @@
                         }
                     }
                 };
-                future::or(read_engine(&stream, &link, &queue, &mut last), writer).await
+                // A link that is left for a new address is first emptied: what the core wants done meanwhile
+                // it keeps, and what was written before is proved to have been read by the last gauges.
+                let moved = async {
+                    peers.engine_left(address).await;
+                    if link.up.replace(false) {
+                        let _ = queue.send(Input::EngineDown).await;
+                        link.outbox.push(|out| {
+                            out.extend_from_slice(format!("STAT {LAST_TAG}\r\n").as_bytes());
+                        });
+                        clock.pause(LEAVE_MS).await;
+                    }
+                    "moved".to_owned()
+                };
+                future::or(moved, future::or(read_engine(&stream, &link, &queue, &mut last), writer)).await
             }
             Err(error) => error.to_string(),
         };
@@ -183,8 +243,12 @@
             reason.replace(' ', "-"),
             clock.now() - began
         ));
-        clock.pause(retry).await;
-        retry = (retry * 2.0).min(RETRY_MOST_MS);
+        if peers.engine.get() == address {
+            future::or(clock.pause(retry), peers.engine_left(address)).await;
+            retry = (retry * 2.0).min(RETRY_MOST_MS);
+        } else {
+            retry = RETRY_MS;
+        }
     }
 }
 
@@ -207,18 +271,26 @@
             match take_line(&mut input, has_body) {
                 Ok(None) => break,
                 Ok(Some(line)) => {
-                    if line.words[0] == "HELLO" {
-                        link.up.set(true);
+                    let (number, news) = match engine_notice(line) {
+                        Ok(notice) => notice,
+                        Err(error) => return error.to_string(),
+                    };
+                    // Some come twice under one number.
+                    if number.is_some_and(|n| n <= *last) {
+                        continue;
                     }
-                    match engine_notice(line, last) {
-                        Ok(Some(news)) => {
-                            if queue.send(news).await.is_err() {
-                                return "no-core".into();
-                            }
+                    match news {
+                        Some(Input::EngineUp { .. }) => link.up.set(true),
+                        Some(Input::Stats(LAST_TAG, _)) => return "moved".into(),
+                        _ => {}
+                    }
+                    if let Some(news) = news {
+                        if queue.send(news).await.is_err() {
+                            return "no-core".into();
                         }
-                        Ok(None) => {}
-                        Err(error) => return error.to_string(),
                     }
+                    // Only now: the link may break while the core's queue is full, and the notice with it.
+                    *last = number.unwrap_or(*last);
                 }
                 Err(error) => return error.to_string(),
             }
@@ -226,20 +298,14 @@
     }
 }
 
-/// What a line of the engine tells the core; nothing for remarks and for notices that were read before.
-fn engine_notice(line: Line, last: &mut u64) -> Result<Option<Input>, LineError> {
+/// What a line of the engine tells the core, nothing for a remark, and the number of a notice.
+fn engine_notice(line: Line) -> Result<(Option<u64>, Option<Input>), LineError> {
     let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
     let number = |word: &str| whole(word).ok_or(LineError::Malformed);
-    let mut fresh = |word: &str| {
-        let n = number(word)?;
-        let is_new = n > *last;
-        *last = n.max(*last);
-        Ok::<_, LineError>(is_new)
-    };
     Ok(match words.as_slice() {
         ["HELLO", state @ ("chilly" | "hot"), ms] => {
             let ms = ms.parse::<f64>().ok().filter(|v| v.is_finite()).ok_or(LineError::Malformed)?;
-            Some(Input::EngineUp { cold: *state == "chilly", ms })
+            (None, Some(Input::EngineUp { cold: *state == "chilly", ms }))
         }
         ["DONE", n, id, end, _ms, _length] => {
             let end = match *end {
@@ -249,173 +315,167 @@
                 "unknown" => RunEnd::Unknown,
                 _ => return Err(LineError::Malformed),
             };
-            fresh(n)?.then(|| Input::Done((*id).to_owned(), end))
+            (Some(number(n)?), Some(Input::Done((*id).to_owned(), end)))
         }
-        ["NEED", n, id, _length] => fresh(n)?.then(|| Input::Need((*id).to_owned(), line.body)),
+        ["NEED", n, id, _length] => (Some(number(n)?), Some(Input::Need((*id).to_owned(), line.body))),
         ["STATS", tag, gauges @ ..] => {
             let gauges = gauges.iter().map(|g| g.parse::<f64>().ok().filter(|v| v.is_finite()));
             let gauges = gauges.collect::<Option<Vec<_>>>().ok_or(LineError::Malformed)?;
-            Some(Input::Stats(number(tag)?, gauges))
-        }
-        ["NO", command, id, ..] => Some(Input::Declined((*command).to_owned(), (*id).to_owned())),
-        ["NOTE", n, ..] => {
-            fresh(n)?;
-            None
+            (None, Some(Input::Stats(number(tag)?, gauges)))
         }
+        ["NO", command, id, ..] => (None, Some(Input::Declined((*command).to_owned(), (*id).to_owned()))),
+        ["NOTE", n, ..] => (Some(number(n)?), None),
         _ => return Err(LineError::Malformed),
     })
 }
 
 // ---- store ----
 
+/// A connection to the store on which nothing is under way.
 #[derive(Debug)]
-struct Call {
+struct Idle {
+    stream: Async<TcpStream>,
+    address: SocketAddr,
+    since_ms: f64,
+    /// The last request that a call was made for here: a copy of its reply may still come.
     rid: String,
-    bytes: Vec<u8>,
-    is_drop: bool,
 }
 
-/// The way to the store, as the core uses it: calls are queued, and each ends with one [`Input::CallEnded`]
-/// unless it is dropped.
-#[derive(Debug, Default)]
+/// The way to the store, as the core uses it: each call ends with one [`Input::CallEnded`] unless it is dropped.
+/// A connection carries one call at a time, so that a reply that is spoilt, late or missing takes no other call
+/// along, and closing the connection is what gives a call up.
+#[derive(Debug)]
 pub struct StoreLink {
-    queue: RefCell<VecDeque<Call>>,
-    /// Calls of which at least a byte may have been written, without a reply.
-    sent: RefCell<BTreeSet<String>>,
-    signal: Signal,
+    peers: Rc<Peers>,
+    queue: Sender<Input>,
+    clock: Clock,
+    counters: Rc<Counters>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// The calls under way; one that is taken out is cancelled.
+    calls: RefCell<HashMap<String, Task<()>>>,
+    idle: RefCell<Vec<Idle>>,
 }
 
 impl StoreLink {
-    /// Makes a call for this request.
-    pub fn call(&self, rid: &str, patience_ms: f64, body: &[u8]) {
+    /// The way to a store that no call was made to.
+    pub fn new(
+        peers: Rc<Peers>,
+        queue: Sender<Input>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Self {
+        let (calls, idle) = (RefCell::default(), RefCell::default());
+        StoreLink { peers, queue, clock, counters, executor, calls, idle }
+    }
+
+    /// Makes a call for this request. One that must not be made twice gets a connection of its own: the reset of
+    /// a used one, forgotten by the store, would leave it uncertain though it never ran.
+    pub fn call(self: &Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool) {
+        let patience_ms = patience_ms.max(1.0);
         let mut bytes = Vec::new();
-        with_body(&mut bytes, &format!("CALL {rid} {:.0}", patience_ms.max(1.0)), body);
-        self.queue.borrow_mut().push_back(Call { rid: rid.to_owned(), bytes, is_drop: false });
-        self.signal.wake();
+        with_body(&mut bytes, &format!("CALL {rid} {patience_ms:.0}"), body);
+        let (link, name) = (self.clone(), rid.to_owned());
+        let call = async move {
+            let late = async {
+                link.clock.pause(patience_ms + CALL_MARGIN_MS).await;
+                Err(CallError("no-reply".into(), Outcome::TimedOut))
+            };
+            let end = future::or(link.converse(&name, &bytes, once), late).await;
+            let (outcome, reply) = end.unwrap_or_else(|CallError(reason, outcome)| {
+                log(format_args!("link=store ended reason={} rid={name}", reason.replace(' ', "-")));
+                (outcome, None)
+            });
+            let _ = link.queue.send(Input::CallEnded(name.clone(), outcome, reply)).await;
+            link.calls.borrow_mut().remove(&name);
+        };
+        let task = self.executor.spawn(call);
+        self.calls.borrow_mut().insert(rid.to_owned(), task);
     }
 
-    /// Gives a call up; nothing is told of its end.
+    /// Gives a call up by closing its connection; nothing is told of its end.
     pub fn drop_call(&self, rid: &str) {
-        self.queue.borrow_mut().retain(|call| call.rid != rid);
-        if self.sent.borrow_mut().remove(rid) {
-            let bytes = format!("DROP {rid}\r\n").into_bytes();
-            self.queue.borrow_mut().push_back(Call { rid: rid.to_owned(), bytes, is_drop: true });
-            self.signal.wake();
-        }
+        let call = self.calls.borrow_mut().remove(rid);
+        drop(call);
     }
-}
 
-enum StoreEnd {
-    Idle,
-    Broken(String),
-}
-
-/// Connects to the store whenever there are calls to make.
-pub async fn store(
-    address: SocketAddr,
-    link: Rc<StoreLink>,
-    queue: Sender<Input>,
-    clock: Clock,
-    counters: Rc<Counters>,
-) {
-    loop {
-        // A DROP needs no connection: closing one gave up every call on it.
-        link.queue.borrow_mut().retain(|call| !call.is_drop);
-        if link.queue.borrow().is_empty() {
-            link.signal.wait().await;
-            continue;
-        }
-        let began = clock.now();
-        match connect(address, &clock).await {
-            Ok(stream) => {
-                count(&counters.store_links);
-                let writer = write_store(&stream, &link, &clock);
-                let end = future::or(read_store(&stream, &link, &queue), writer).await;
-                drop(stream);
-                let reason = match end {
-                    StoreEnd::Idle => "idle".to_owned(),
-                    StoreEnd::Broken(reason) => reason.replace(' ', "-"),
-                };
-                log(format_args!("link=store ended reason={reason} after_ms={:.0}", clock.now() - began));
-                // Written, and no word of it: it may have run or not.
-                for rid in link.sent.take() {
-                    let _ = queue.send(Input::CallEnded(rid, Outcome::Reset, None)).await;
-                }
-            }
-            Err(_) => {
-                // Nothing of these was ever written: none of them ran. The module times the next ones.
-                let calls = link.queue.take();
-                for call in calls.into_iter().filter(|call| !call.is_drop) {
-                    let _ = queue.send(Input::CallEnded(call.rid, Outcome::Unreachable, None)).await;
-                }
+    /// A used connection that is as good as new, if there is one.
+    fn used(&self, rid: &str) -> Option<Async<TcpStream>> {
+        let (now, address) = (self.clock.now(), self.peers.store.get());
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|i| now < i.since_ms + STORE_IDLE_MS && i.address == address);
+        while let Some(at) = idle.iter().rposition(|i| i.rid != rid) {
+            let stream = idle.remove(at).stream;
+            // Anything to read is its end, or a copy of a reply that was read.
+            let quiet = stream.get_ref().peek(&mut [0]);
+            if quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                return Some(stream);
             }
         }
+        None
     }
-}
 
-async fn write_store(mut stream: &Async<TcpStream>, link: &StoreLink, clock: &Clock) -> StoreEnd {
-    loop {
-        let next = link.queue.borrow_mut().pop_front();
-        if let Some(call) = next {
-            if !call.is_drop {
-                link.sent.borrow_mut().insert(call.rid);
+    /// One call, on a connection that nothing else uses meanwhile.
+    async fn converse(
+        &self,
+        rid: &str,
+        call: &[u8],
+        once: bool,
+    ) -> Result<(Outcome, Option<Vec<u8>>), CallError> {
+        let address = self.peers.store.get();
+        let stream = match self.used(rid).filter(|_| !once) {
+            Some(stream) => stream,
+            None => {
+                // Nothing was written: the call never ran.
+                let refused = |e: io::Error| CallError(e.to_string(), Outcome::Unreachable);
+                let stream = connect(address, &self.clock).await.map_err(refused)?;
+                count(&self.counters.store_links);
+                stream
             }
-            if let Err(error) = stream.write_all(&call.bytes).await {
-                return StoreEnd::Broken(error.to_string());
-            }
-            continue;
-        }
-        let idle = async {
-            clock.pause(STORE_IDLE_MS).await;
-            true
         };
-        let woken = async {
-            link.signal.wait().await;
-            false
-        };
-        if future::or(woken, idle).await && link.sent.borrow().is_empty() && link.queue.borrow().is_empty() {
-            return StoreEnd::Idle;
-        }
-    }
-}
-
-async fn read_store(mut stream: &Async<TcpStream>, link: &StoreLink, queue: &Sender<Input>) -> StoreEnd {
-    let mut input = Vec::new();
-    let mut chunk = vec![0; 16 * 1024];
-    loop {
-        match stream.read(&mut chunk).await {
-            Ok(0) => return StoreEnd::Broken("closed".into()),
-            Ok(n) => input.extend_from_slice(&chunk[..n]),
-            Err(error) => return StoreEnd::Broken(error.to_string()),
-        }
+        // From here on it may have run, whatever becomes of the connection.
+        let broken = |reason: String| CallError(reason, Outcome::Reset);
+        let mut socket = &stream;
+        socket.write_all(call).await.map_err(|e| broken(e.to_string()))?;
+        let (mut input, mut chunk, mut foreign) = (Vec::new(), vec![0; 4096], 0);
         loop {
+            match socket.read(&mut chunk).await {
+                Ok(0) => return Err(broken("closed".into())),
+                Ok(n) => input.extend_from_slice(&chunk[..n]),
+                Err(error) => return Err(broken(error.to_string())),
+            }
             let has_body = |words: &[String]| words.get(1).is_some_and(|w| w == "OK");
-            match take_line(&mut input, has_body) {
-                Ok(None) => break,
-                Ok(Some(line)) => {
-                    let outcome = match line.words.get(1).map(String::as_str) {
-                        Some("OK") if line.words.len() == 3 => Outcome::Done,
-                        // Nothing waits for the call any more: like one turned away, it never ran.
-                        Some("BUSY" | "VOID") => Outcome::Declined,
-                        Some("ERR") => Outcome::Failed,
-                        Some("LATE") => Outcome::TimedOut,
-                        _ => return StoreEnd::Broken(LineError::Malformed.to_string()),
-                    };
-                    let rid = line.words[0].clone();
-                    // A reply to a call that was dropped meanwhile has no one to go to.
-                    if link.sent.borrow_mut().remove(&rid) {
-                        let reply = (outcome == Outcome::Done).then_some(line.body);
-                        if queue.send(Input::CallEnded(rid, outcome, reply)).await.is_err() {
-                            return StoreEnd::Broken("no-core".into());
-                        }
+            while let Some(line) = take_line(&mut input, has_body).map_err(|e| broken(e.to_string()))? {
+                let outcome = match line.words.get(1).map(String::as_str) {
+                    Some("OK") if line.words.len() == 3 => Outcome::Done,
+                    // Nothing waits for the call any more: like one turned away, it never ran.
+                    Some("BUSY" | "VOID") => Outcome::Declined,
+                    Some("ERR") => Outcome::Failed,
+                    Some("LATE") => Outcome::TimedOut,
+                    _ => return Err(broken(LineError::Malformed.to_string())),
+                };
+                if line.words[0] != rid {
+                    // A copy of an earlier reply, or one under an unknown name, harms nobody; a stream does.
+                    foreign += 1;
+                    if foreign > FOREIGN_MOST {
+                        return Err(broken("foreign-replies".into()));
                     }
+                    continue;
+                }
+                if input.is_empty() {
+                    let since_ms = self.clock.now();
+                    let used = Idle { stream, address, since_ms, rid: rid.to_owned() };
+                    self.idle.borrow_mut().push(used);
                 }
-                Err(error) => return StoreEnd::Broken(error.to_string()),
+                return Ok((outcome, (outcome == Outcome::Done).then_some(line.body)));
             }
         }
     }
 }
 
+/// How a call ended without a reply: a reason code, and what it proves.
+struct CallError(String, Outcome);
+
 // ---- membership ----
 
 /// A socket from which datagrams can be sent to this address.
@@ -424,20 +484,20 @@
     Async::<UdpSocket>::bind(any)
 }
 
-/// Reports to the membership service: at once when something changes, and again before the entry lapses.
+/// Reports to the membership service: at once when something changes, and so often that losses do not matter.
 pub async fn members(
-    address: SocketAddr,
+    peers: Rc<Peers>,
     name: String,
     status: Rc<Status>,
     clock: Clock,
     counters: Rc<Counters>,
 ) -> io::Result<()> {
-    let socket = datagrams_to(address)?;
+    let socket = datagrams_to(peers.members.get())?;
     loop {
         if let Some(up) = status.listed.get() {
             let report = format!("HB {name} {}", if up { "UP" } else { "OUT" });
             // The service may be down, which a later report finds mended.
-            if socket.send_to(report.as_bytes(), address).await.is_ok() {
+            if socket.send_to(report.as_bytes(), peers.members.get()).await.is_ok() {
                 count(&counters.reports);
             }
         }
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -41,6 +41,10 @@
     bad_requests,
     /// Requests that named a kept one.
     repeats,
+    /// Requests with a known key and another body.
+    refused_bodies,
+    /// Requests whose time of arrival cannot be.
+    bad_times,
     /// Answers with a result.
     served,
     /// Answers with a kept result of another try.
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -21,6 +21,10 @@
 const MESSAGE_MOST: usize = BODY_MOST + 4096;
 /// Nesting of a message: itself, its parameters, its fields, their names.
 const DEPTH_MOST: u32 = 4;
+/// Memory that no request may book while it is held, kB.
+pub const MEM_BELOW_KB: f64 = 2000.0;
+/// Largest hint of work that is believed, as a multiple of the time its caller waits.
+pub const EST_MOST: f64 = 100.0;
 /// Requests that may be open on one connection.
 const OPEN_MOST: usize = 32;
 
@@ -312,22 +316,34 @@
             word.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0).map(Some).ok_or("BadField")
         }
     };
+    // What is out of range is no router's: believed or clamped, it would book memory and work that nobody asked
+    // for. Every field has to be right, also the ones that nothing here uses.
+    let within = |name: &str, least: f64, below: f64| {
+        let value = number(name)?;
+        if value.is_none_or(|v| v >= least && v < below) { Ok(value) } else { Err("BadField") }
+    };
     let hex = |word: &str, n: usize| word.len() == n && word.bytes().all(|b| b.is_ascii_hexdigit());
     let rid = text("rid")?.filter(|word| hex(word, 16)).ok_or("BadField")?;
-    let keyed = site.settings.classes[class].effect == Effect::Keyed;
-    let token = text("token")?.filter(|word| !word.is_empty() && word.len() <= 64);
-    if keyed && token.is_none() {
+    let settings = &site.settings.classes[class];
+    let keyed = settings.effect == Effect::Keyed;
+    let (token, subject, again) = (text("token")?, text("obj")?, text("again")?);
+    let fits = |word: Option<&str>| word.is_none_or(|w| (1..=64).contains(&w.len()));
+    if keyed && token.is_none() || !fits(token) || !fits(subject) || again.is_some_and(|word| word != "1") {
         return Err("BadField");
     }
+    let est_ms = within("est", f64::MIN_POSITIVE, settings.deadline_ms * EST_MOST)?;
+    let mem_kb = within("mem", f64::MIN_POSITIVE, MEM_BELOW_KB)?.unwrap_or(0.0);
+    within("prio", 0.0, 1.0)?;
+    within("peer", 0.0, f64::INFINITY)?;
     Ok(Fields {
         rid: rid.to_owned(),
         class,
         t0: number("t0")?.ok_or("BadField")?,
-        again: text("again")? == Some("1"),
-        est_ms: number("est")?.filter(|v| *v > 0.0),
-        mem_kb: number("mem")?.unwrap_or(0.0).min(2000.0),
+        again: again.is_some(),
+        est_ms,
+        mem_kb,
         token: token.map(str::to_owned),
-        subject: text("obj")?.map(str::to_owned),
+        subject: subject.map(str::to_owned),
         tenant: text("acct")?.and_then(|name| site.tenant_names.get(name).copied()),
         body: body.to_vec(),
     })
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -176,21 +176,114 @@
     engine send DONE 2 00000000000000a1 complete 12|receipt
     rpc expect [1 1 nil [receipt *"
 )]
-#[case::the_store_is_left_before_it_closes_and_found_again(
+#[case::a_reload_moves_all_three_links(
     "
     rpc send 1 write rid=a1 token=k|paper
     engine expect RUN 00000000000000a1 write|paper
+    rpc send 2 look rid=a2|paper
+    engine expect RUN 00000000000000a2 look|paper
+    engine send NEED 1 00000000000000a2|which
+    store expect CALL 00000000000000a2 *|which
+    node send config=moved
+    node send HUP
+    engine expect closed
+    engine2 expect ATTACH 1
+    engine2 send HELLO hot 6000
+    members2 wait HB n1 UP
+    engine2 send NEED 2 00000000000000a1|what
+    store2 expect CALL 00000000000000a1 *|what
+    store2 send 00000000000000a1 OK|this
+    engine2 wait FEED 00000000000000a1|this
+    # A call that was open may still end where it was made.
+    store send 00000000000000a2 OK|that
+    engine2 wait FEED 00000000000000a2|that
+    engine2 send DONE 3 00000000000000a1 complete 12|receipt
+    rpc expect [1 1 nil [receipt *"
+)]
+#[case::a_configuration_that_is_cut_off_changes_nothing(
+    "
+    node send config=cut-off
+    node send HUP
+    node wait reload-failed addresses=kept *
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    engine send DONE 1 00000000000000a1 complete 12|report
+    rpc expect [1 1 nil [report *"
+)]
+#[case::a_known_key_with_another_body_is_neither_served_nor_run(
+    "
+    rpc send 1 write rid=a1 token=k|paper
+    engine expect RUN 00000000000000a1 write|paper
+    rpc2 send 1 write rid=a2 token=k again=1|other
+    rpc2 expect [1 1 [Failed *] nil]
+    engine send DONE 1 00000000000000a1 complete 12|receipt
+    rpc expect [1 1 nil [receipt *
+    rpc2 send 2 write rid=a3 token=k|other
+    rpc2 expect [1 2 [Failed *] nil]
+    ajp send /write token=k secret=s3|other
+    ajp expect status 500 *
+    ajp expect end 1
+    rpc2 send 3 write rid=a4 token=k again=1|paper
+    rpc2 expect [1 3 nil [receipt *"
+)]
+#[case::times_and_figures_that_cannot_be(
+    "
+    rpc send 1 look rid=a1 t0=-9999999|x
+    rpc expect [1 1 [Failed *] nil]
+    rpc send 2 write rid=a2 token=k t0=9999999|x
+    rpc expect [1 2 [Failed *] nil]
+    rpc send 3 look rid=a3 mem=2000|x
+    rpc expect [1 3 [BadField *] nil]
+    rpc send 4 look rid=a4 est=1e300|x
+    rpc expect [1 4 [BadField *] nil]
+    rpc send 5 look rid=a5 prio=1|x
+    rpc expect [1 5 [BadField *] nil]
+    rpc send 6 look rid=a6 mem=NaN|x
+    rpc expect [1 6 [BadField *] nil]
+    ajp send /look mem=2000 secret=s3
+    ajp expect status 400 *
+    ajp expect end 1
+    rpc send 7 write rid=a7 token=k|paper
+    engine expect RUN 00000000000000a7 write|paper"
+)]
+#[case::a_spoilt_reply_takes_no_other_call_along(
+    "
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    rpc send 2 write rid=a2 token=k|paper
+    engine expect RUN 00000000000000a2 write|paper
     engine send NEED 1 00000000000000a1|which
     store expect CALL 00000000000000a1 *|which
+    engine send NEED 2 00000000000000a2|what
+    store expect CALL 00000000000000a2 *|what
+    store send 00000000000000a1 OK 3000000000
+    store expect closed
+    store send 00000000000000a2 OK|this
+    engine expect FEED 00000000000000a2|this
+    store wait CALL 00000000000000a1 *|which"
+)]
+#[case::replies_that_belong_to_no_call_harm_nobody(
+    "
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    engine send NEED 1 00000000000000a1|which
+    store expect CALL 00000000000000a1 *|which
+    store send 00000000000000ff OK|noise
+    store send 00000000000000a1 OK|that
     store send 00000000000000a1 OK|that
     engine expect FEED 00000000000000a1|that
-    engine send DONE 2 00000000000000a1 complete 12|receipt
-    rpc expect [1 1 nil [receipt *
-    store expect closed
-    rpc send 2 look rid=a2|paper
-    engine expect RUN 00000000000000a2 look|paper
-    engine send NEED 3 00000000000000a2|again
-    store expect CALL 00000000000000a2 *|again"
+    engine send NEED 2 00000000000000a1|what
+    store wait CALL 00000000000000a1 *|what
+    store send 00000000000000a1 OK|this
+    engine expect FEED 00000000000000a1|this"
+)]
+#[case::a_remark_in_any_words_does_not_end_the_link(
+    "
+    engine send NOTE 1 pozn\u{e1}mka
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    engine send DONE 2 00000000000000a1 complete 12|report
+    rpc expect [1 1 nil [report *"
 )]
 #[case::ajp_leaving(
     "
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -6,11 +6,13 @@
 //! | `send` | send what the words say (below) |
 //! | `expect` | the next line of the inbox matches the words; `*` stands for anything, a new `$name` for a word that it names from then on |
 //! | `wait` | the same, passing over lines that do not match |
-//! | `close` | close the actor's connection |
+//! | `close` | close the actor's connection, of a service's the one on which the word was named, or the latest |
 //!
-//! Actors: `node` (the program: `send TERM`, its log lines, `exit N`), `engine`, `store`, `members`, `graphite`,
-//! `collectd` (stand-ins for the services), and any name that begins with `rpc` or `ajp` (a client that connects when it is
-//! first named). `engine` and `store` send the words as a line; `|` parts off a body, whose length is added.
+//! Actors: `node` (the program: `send TERM` is a signal, `send config=...` replaces its configuration; its log
+//! lines, `exit N`), `engine`, `store`, `members`, `graphite`, `collectd` (stand-ins for the services), `engine2`,
+//! `store2`, `members2` (where `config=moved` puts them), and any name that begins with `rpc` or `ajp` (a client
+//! that connects when it is first named). `engine` and `store` send the words as a line, on the connection where
+//! its first word was named; `|` parts off a body, whose length is added.
 //! `rpc send ID CLASS name=value ...|BODY` sends a request (`rid` is padded, `t0` counts from now); `ajp send
 //! PATH name=value ...|BODY` a Forward Request, whose body goes along unless `body=later`. `hex=...` sends raw bytes.
 
@@ -25,9 +27,12 @@
 /// An event that does not come within this time does not come.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Connections by the request that was last named on each; the latest stands under no name.
+type Streams = Arc<Mutex<HashMap<String, TcpStream>>>;
+
 pub struct Actor {
     inbox: Receiver<String>,
-    stream: Arc<Mutex<Option<TcpStream>>>,
+    streams: Streams,
 }
 
 pub fn now_ms() -> u64 {
@@ -56,37 +61,45 @@
 
 pub type Answer = Box<dyn FnMut(&str) -> Vec<String> + Send>;
 
-/// A service that takes connections one after another. `answer` has each line first: what it returns is sent
-/// back, and lines that it answers do not reach the inbox.
-pub fn service(mut answer: Answer) -> (Actor, SocketAddr) {
+/// A service. `answer` has each line first: what it returns is sent back, and lines that it answers do not reach
+/// the inbox.
+pub fn service(answer: Answer) -> (Actor, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
     let (sender, inbox) = channel();
-    let stream = Arc::new(Mutex::new(None::<TcpStream>));
-    let shared = stream.clone();
+    let (streams, answer) = (Streams::default(), Arc::new(Mutex::new(answer)));
+    let shared = streams.clone();
     std::thread::spawn(move || {
         for accepted in listener.incoming().flatten() {
-            *shared.lock().expect("not poisoned") = accepted.try_clone().ok();
-            let mut input = BufReader::new(accepted);
-            while let Some(text) = line_and_body(&mut input) {
-                let replies = answer(&text);
-                if replies.is_empty() && sender.send(text).is_err() {
-                    return;
+            let (sender, shared, answer) = (sender.clone(), shared.clone(), answer.clone());
+            let name = move |name: &str, stream: &TcpStream| {
+                let stream = stream.try_clone().expect("cloned");
+                shared.lock().expect("not poisoned").insert(name.to_owned(), stream);
+            };
+            name("", &accepted);
+            std::thread::spawn(move || {
+                let mut input = BufReader::new(accepted);
+                while let Some(text) = line_and_body(&mut input) {
+                    name(text.split(' ').nth(1).unwrap_or_default(), input.get_ref());
+                    let replies = answer.lock().expect("not poisoned")(&text);
+                    if replies.is_empty() && sender.send(text).is_err() {
+                        return;
+                    }
+                    let bytes: Vec<u8> = replies.iter().flat_map(|reply| wire_line(reply)).collect();
+                    let _ = input.get_mut().write_all(&bytes);
                 }
-                let bytes: Vec<u8> = replies.iter().flat_map(|reply| wire_line(reply)).collect();
-                let _ = input.get_mut().write_all(&bytes);
-            }
-            let _ = sender.send("closed".into());
+                let _ = sender.send("closed".into());
+            });
         }
     });
-    (Actor { inbox, stream }, address)
+    (Actor { inbox, streams }, address)
 }
 
 /// A service that is down: nothing listens at its address, which is nobody else's meanwhile.
 pub fn down() -> (Actor, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
-    (Actor { inbox: channel().1, stream: Arc::default() }, address)
+    (Actor { inbox: channel().1, streams: Streams::default() }, address)
 }
 
 /// A line on the wire: after `|` comes a body, whose length is its last word.
@@ -147,7 +160,7 @@
             }
         }
     });
-    (Actor { inbox, stream: Arc::default() }, address)
+    (Actor { inbox, streams: Streams::default() }, address)
 }
 
 // ---- clients ----
@@ -165,7 +178,7 @@
         }
         let _ = sender.send("closed".into());
     });
-    Actor { inbox, stream: Arc::new(Mutex::new(Some(stream))) }
+    Actor { inbox, streams: Arc::new(Mutex::new(HashMap::from([(String::new(), stream)]))) }
 }
 
 fn exact<const N: usize>(input: &mut impl Read) -> Option<[u8; N]> {
@@ -380,6 +393,9 @@
     /// While it is held, nobody reads the program's log.
     pub log_gate: Arc<Mutex<()>>,
     names: HashMap<String, String>,
+    /// The configurations by the names that scenarios give them, and where the program reads its own.
+    configs: HashMap<&'static str, String>,
+    config: std::path::PathBuf,
     _folder: Folder,
 }
 
@@ -418,18 +434,26 @@
         };
         let (engine, store) = (add("engine", service(engine)), add("store", store));
         let members = add("members", datagrams(|packet| vec![String::from_utf8_lossy(packet).into_owned()]));
+        let quiet = || service(Box::new(|_| Vec::new()));
+        let (engine2, store2) = (add("engine2", service(Box::new(idle_gauges))), add("store2", quiet()));
+        let members2 =
+            add("members2", datagrams(|packet| vec![String::from_utf8_lossy(packet).into_owned()]));
         let graphite = add("graphite", service(Box::new(|_| Vec::new())));
         let collectd = add("collectd", datagrams(collectd_lines));
         let number = FOLDERS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("pinepoint-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder of its own");
         let (config, edge) = (folder.join("config.json"), folder.join("edge.toml"));
-        let text = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}","store":"{store}",
-            "seed":"8c1f30d27a5be964","stop_ms":3000,"limits":{{"cores":1,"memory_mb":192,"sockets":256}},
-            "settings":{SETTINGS}}}"#
-        );
-        std::fs::write(&config, text).expect("written");
+        let text = |engine, members, store| {
+            format!(
+                r#"{{"name":"n1","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}",
+                "store":"{store}","seed":"8c1f30d27a5be964","stop_ms":3000,
+                "limits":{{"cores":1,"memory_mb":192,"sockets":256}},"settings":{SETTINGS}}}"#
+            )
+        };
+        std::fs::write(&config, text(engine, members, store)).expect("written");
+        let moved = text(engine2, members2, store2);
+        let configs = HashMap::from([("cut-off", moved[..moved.len() / 2].to_owned()), ("moved", moved)]);
         let text = format!(
             r#"ajp = {{ listen = "127.0.0.1:0", secret = "s3", mem_kb = 40.0 }}
             graphite = {{ address = "{graphite}", prefix = "pinepoint", every_s = 0.2 }}
@@ -448,7 +472,7 @@
         let (waiting, log_gate) = (child.clone(), Arc::new(Mutex::new(())));
         let gate = log_gate.clone();
         std::thread::spawn(move || read_log(log, &sender, &waiting, &gate));
-        actors.insert("node".into(), Actor { inbox, stream: Arc::default() });
+        actors.insert("node".into(), Actor { inbox, streams: Streams::default() });
         let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
         let mut world = World {
             actors,
@@ -457,6 +481,8 @@
             child,
             log_gate,
             names: HashMap::new(),
+            configs,
+            config,
             _folder: Folder(folder),
         };
         let address = |text: String| text.rsplit_once('=').and_then(|(_, a)| a.parse().ok()).expect(&text);
@@ -481,6 +507,10 @@
     }
 
     fn send(&mut self, actor: &str, words: &str) {
+        if let Some(name) = words.strip_prefix("config=") {
+            std::fs::write(&self.config, &self.configs[name]).expect("written");
+            return;
+        }
         if actor == "node" {
             let id = self.child.lock().expect("not poisoned").id().to_string();
             let sent = Command::new("kill").args([&format!("-{words}"), &id]).status();
@@ -495,8 +525,15 @@
             (_, "ajp") => ajp_request(words),
             _ => wire_line(words),
         };
-        let stream = self.actors[actor].stream.lock().expect("not poisoned");
-        stream.as_ref().expect("connected").write_all(&bytes).expect("sent");
+        let name = words.split(' ').next().unwrap_or_default();
+        self.stream(actor, name).write_all(&bytes).expect("sent");
+    }
+
+    /// The connection on which this was named, or the latest.
+    fn stream(&self, actor: &str, name: &str) -> TcpStream {
+        let streams = self.actors[actor].streams.lock().expect("not poisoned");
+        let stream = streams.get(name).or(streams.get("")).expect("connected");
+        stream.try_clone().expect("cloned")
     }
 
     /// Runs a scenario.
@@ -533,8 +570,7 @@
                     self.wait(actor, words);
                 }
                 "close" => {
-                    let stream = self.actors[actor].stream.lock().expect("not poisoned");
-                    let _ = stream.as_ref().expect("connected").shutdown(Shutdown::Both);
+                    let _ = self.stream(actor, words).shutdown(Shutdown::Both);
                 }
                 _ => panic!("no verb {verb}"),
             }
