Close connections that say nothing, and let them give way where room is short

At fault: mod.rs `listen`, which with no room only waited, so that those that knocked stayed in the backlog, and nothing ended a silent connection (rpc.rs `read` waited without limit).

Checked: the log's reason codes; ruled out CPU (0.1 of a core at most) and memory (9 of 48 MB).

Changed: a connection has 1.5 s for its first whole message and for the rest of one begun, on both fronts (an AJP body's packets too, 10 s before). When one knocks and there is no room, the oldest that never spoke gives way, then the one idle longest. Idle connections end after the time routers keep them, told ones a second after. The backlog is 1024 instead of 128. A connection's read buffer is given back when it is empty.

--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -216,7 +216,7 @@
         log(format_args!("ajp listen={address}"));
         let options = Rc::new(ajp::Options { secret, mem_kb, seed });
         let own = front.clone();
-        let serve = move |stream, id| ajp::serve(stream, id, own.clone(), options.clone());
+        let serve = move |stream, guest| ajp::serve(stream, guest, own.clone(), options.clone());
         let most = connections / AJP_PART;
         executor.spawn(node::listen("ajp", listener, most, front.clone(), executor.clone(), serve)).detach();
     }
@@ -256,7 +256,7 @@
         executor.spawn(or_off("collectd", report)).detach();
     }
     let own = front.clone();
-    let serve = move |stream, id| rpc::serve(stream, id, own.clone());
+    let serve = move |stream, guest| rpc::serve(stream, guest, own.clone());
     executor.spawn(node::listen("rpc", listener, connections, front, executor.clone(), serve)).detach();
     log(format_args!("started name={name} listen={address}"));
     async_io::block_on(executor.run(core.run(inputs)));
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -12,7 +12,7 @@
 use super::core::{Arrival, Caller, Input, Reply};
 use super::observe::count;
 use super::rpc::{BODY_MOST, EST_MOST, MEM_BELOW_KB};
-use super::{Ended, Front, Signal, Writer};
+use super::{Front, Guest, MESSAGE_MS, Signal, Writer};
 use crate::Effect;
 use crate::settings::Site;
 
@@ -24,8 +24,6 @@
 /// Most headers of a request, and longest header value that the core gets to see, bytes.
 const HEADERS_MOST: usize = 128;
 const WORD_MOST: usize = 64;
-/// Time for the rest of a packet that has begun, ms.
-const PACKET_MS: f64 = 10_000.0;
 
 const FORWARD_REQUEST: u8 = 2;
 const SEND_BODY_CHUNK: u8 = 3;
@@ -365,34 +363,30 @@
 // ---- connections ----
 
 struct Connection {
-    id: u64,
+    guest: Rc<Guest>,
     front: Rc<Front>,
     writer: Writer,
-    /// The request that waits for its answer, if one does; their number so far.
+    /// The request that waits for its answer, if one does.
     open: Cell<Option<u64>>,
-    read: Cell<u64>,
-    answers: Cell<u64>,
     answered: Signal,
-    used_ms: Cell<f64>,
-    told_to_go: Cell<bool>,
 }
 
 impl Connection {
     /// No request waits for its answer or for the rest of its body.
     fn is_idle(&self) -> bool {
-        self.open.get().is_none() && self.read.get() == self.answers.get()
+        self.open.get().is_none() && self.guest.read.get() == self.guest.answered.get()
     }
 
     fn respond(&self, status: u16, mut headers: Vec<(&str, String)>, body: &[u8], reuse: bool) {
         headers.extend(self.front.status.hint.get().map(|value| ("hint", format!("{value:.4}"))));
-        self.used_ms.set(self.front.clock.now());
+        self.guest.used_ms.set(self.front.clock.now());
         self.writer.push(|out| response(out, status, &headers, body, reuse));
     }
 }
 
 impl Caller for Connection {
     fn id(&self) -> u64 {
-        self.id
+        self.guest.id
     }
 
     fn answer(&self, ticket: u64, reply: &Reply) {
@@ -400,8 +394,8 @@
             return;
         }
         self.open.set(None);
-        self.answers.set(self.answers.get() + 1);
-        let reuse = !self.told_to_go.get();
+        self.guest.answered.set(self.guest.answered.get() + 1);
+        let reuse = !self.guest.told.get();
         match reply {
             Reply::Served(result) => {
                 let kind = vec![("Content-Type", "application/octet-stream".to_owned())];
@@ -419,7 +413,7 @@
     }
 
     fn leave(&self) {
-        self.told_to_go.set(true);
+        self.guest.told.set(true);
         // An idle connection goes now; the front end opens another elsewhere. A request whose body is on its
         // way was not read and holds up nothing, but is given the time to become one.
         if self.is_idle() {
@@ -428,24 +422,25 @@
     }
 
     fn leave_if_idle(&self, since_ms: f64) {
-        if self.used_ms.get() < since_ms && self.is_idle() {
+        if self.guest.used_ms.get() < since_ms && self.is_idle() {
             self.leave();
         }
     }
 }
 
-/// Serves one connection to its end.
-pub async fn serve(stream: Rc<Async<TcpStream>>, id: u64, front: Rc<Front>, options: Rc<Options>) -> Ended {
+/// Serves one connection to its end; returns the reason code.
+pub async fn serve(
+    stream: Rc<Async<TcpStream>>,
+    guest: Rc<Guest>,
+    front: Rc<Front>,
+    options: Rc<Options>,
+) -> &'static str {
     let connection = Rc::new(Connection {
-        id,
+        guest,
         front: front.clone(),
         writer: Writer::new(front.clone()),
         open: Cell::new(None),
-        read: Cell::new(0),
-        answers: Cell::new(0),
         answered: Signal::default(),
-        used_ms: Cell::new(front.clock.now()),
-        told_to_go: Cell::new(false),
     });
     let _ = front.queue.send(Input::Opened(connection.clone())).await;
     let mut input = Input13 { stream: &stream, bytes: Vec::new() };
@@ -458,8 +453,7 @@
         future::pending().await
     };
     let writing = connection.writer.run(&stream, || connection.open.get().is_none());
-    let reason = future::or(reading, writing).await;
-    Ended { reason, read: connection.read.get(), answered: connection.answers.get() }
+    future::or(reading, writing).await
 }
 
 enum End {
@@ -497,7 +491,7 @@
                 return Ok(payload);
             }
             if until.is_none() && !self.bytes.is_empty() {
-                until = Some(front.clock.now() + PACKET_MS);
+                until = Some(front.clock.now() + MESSAGE_MS);
             }
             let late = async {
                 match until {
@@ -518,7 +512,7 @@
             Ok(payload) => payload,
             Err(end) => return end,
         };
-        connection.used_ms.set(front.clock.now());
+        connection.guest.heard(front.clock.now());
         match payload.first() {
             Some(&CPING) if payload.len() == 1 => {
                 count(&front.counters.pings);
@@ -526,11 +520,16 @@
             }
             // Anyone who can connect could send it; SIGTERM is the way to stop this process.
             Some(&SHUTDOWN) => {}
-            Some(&FORWARD_REQUEST) => match request(input, connection, options, &payload).await {
-                Ok(()) if connection.told_to_go.get() => return End::After("drained"),
-                Ok(()) => {}
-                Err(end) => return end,
-            },
+            Some(&FORWARD_REQUEST) => {
+                connection.guest.busy.set(true);
+                let end = request(input, connection, options, &payload).await;
+                connection.guest.busy.set(false);
+                match end {
+                    Ok(()) if connection.guest.told.get() => return End::After("drained"),
+                    Ok(()) => {}
+                    Err(end) => return end,
+                }
+            }
             _ => return End::Now("bad-code"),
         }
         connection.writer.ready().await;
@@ -547,12 +546,12 @@
 ) -> Result<(), End> {
     let front = &connection.front;
     let t0 = front.clock.now();
-    let ticket = connection.read.get() + 1;
-    connection.read.set(ticket);
+    let ticket = connection.guest.read.get() + 1;
+    connection.guest.read.set(ticket);
     let bad = |status: u16, reuse: bool| {
         count(&front.counters.bad_requests);
-        connection.answers.set(connection.answers.get() + 1);
-        connection.respond(status, Vec::new(), b"", reuse && !connection.told_to_go.get());
+        connection.guest.answered.set(connection.guest.answered.get() + 1);
+        connection.respond(status, Vec::new(), b"", reuse && !connection.guest.told.get());
         // Without reuse the rest of the body may be under way, and nothing after it can be made out.
         if reuse { Ok(()) } else { Err(End::After("bad-request")) }
     };
@@ -583,7 +582,7 @@
                 });
             });
         }
-        let payload = input.packet(front, Some(until)).await?;
+        let payload = input.packet(front, Some(until.min(front.clock.now() + MESSAGE_MS))).await?;
         let data = body_data(&payload).map_err(|e| End::Now(e.code()))?;
         if data.is_empty() {
             if wanted == usize::MAX {
@@ -604,7 +603,7 @@
     let arrival = Arrival {
         caller: connection.clone(),
         ticket,
-        rid: name(options.seed, connection.id, ticket),
+        rid: name(options.seed, connection.guest.id, ticket),
         class: head.class,
         t0,
         again: head.again,
@@ -624,7 +623,7 @@
         // Read on only to hear of a front end that leaves: it has nothing to say before the answer.
         if let Err(end) = future::or(answered, input.more()).await {
             connection.open.set(None);
-            let _ = front.queue.send(Input::Gone(connection.id, ticket)).await;
+            let _ = front.queue.send(Input::Gone(connection.guest.id, ticket)).await;
             return Err(end);
         }
         if input.bytes.len() > PACKET_MOST {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 pub mod rpc;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
@@ -33,6 +34,17 @@
 const STALL_MS: f64 = 15_000.0;
 /// Wait before another look for a free descriptor, ms.
 const FULL_MS: f64 = 20.0;
+/// Time in which a new connection has to bring its first whole message, and any the rest of one that has begun,
+/// ms. A router connects when it has something to say; what says nothing is owed an end within 3 s.
+pub const MESSAGE_MS: f64 = 1500.0;
+/// Idle time in which a connection that spoke is not asked to give way, ms: its router may be about to use it.
+const SPARED_MS: f64 = 500.0;
+/// Time after the notice to go in which a connection without open requests is closed from here, ms. A router
+/// that heard the notice closes first; what stays would hold its descriptor for good.
+const TOLD_MS: f64 = 1000.0;
+/// Connections that may wait to be accepted: hundreds come at once, and one that finds no place there comes
+/// again only after a second.
+const BACKLOG: i32 = 1024;
 
 /// A wake-up that is kept until it is awaited; many in a row count as one.
 #[derive(Debug)]
@@ -153,19 +165,109 @@
     pub shut: Gate,
 }
 
-/// Keeps the connections of all fronts below the limit on descriptors, names them, and sums what they queue.
+/// What the fronts' common guards know of one connection.
+#[derive(Debug)]
+pub struct Guest {
+    /// Tells connections apart, over all fronts.
+    pub id: u64,
+    /// Requests and checks read, and requests answered.
+    pub read: Cell<u64>,
+    /// Requests answered.
+    pub answered: Cell<u64>,
+    /// When it last carried something whole, ms.
+    pub used_ms: Cell<f64>,
+    /// It brought a whole message.
+    pub spoke: Cell<bool>,
+    /// Something is under way on it: an answer is owed, or a body was asked for.
+    pub busy: Cell<bool>,
+    /// It was asked to go.
+    pub told: Cell<bool>,
+    way: Gate,
+}
+
+impl Guest {
+    /// Notes that a whole message was read.
+    pub fn heard(&self, now: f64) {
+        self.spoke.set(true);
+        self.used_ms.set(now);
+    }
+
+    /// Completes, with the reason, when the connection has said nothing for too long. `idle_ms` is the time
+    /// after which routers close idle ones themselves: what is left after it belongs to none that lives.
+    async fn overstays(&self, clock: &Clock, idle_ms: f64) -> &'static str {
+        loop {
+            let (limit_ms, reason) = match (self.spoke.get(), self.told.get()) {
+                (false, _) => (MESSAGE_MS, "silent"),
+                (true, true) => (TOLD_MS, "told-to-go"),
+                (true, false) => (idle_ms, "idle"),
+            };
+            let at = self.used_ms.get() + limit_ms;
+            match clock.now() >= at {
+                true if !self.busy.get() => return reason,
+                true => clock.pause(limit_ms).await,
+                // Told to go meanwhile, it is looked at again soon enough.
+                false => clock.pause((at - clock.now()).clamp(1.0, TOLD_MS)).await,
+            }
+        }
+    }
+}
+
+/// Keeps the connections of all fronts below the limit on descriptors, and sums what they queue.
 #[derive(Debug)]
 pub struct Room {
     most: usize,
-    held: Cell<usize>,
+    guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     last: Cell<u64>,
+    freed: Signal,
     queued: Cell<usize>,
 }
 
 impl Room {
     /// Room for that many connections.
     pub fn new(most: usize) -> Self {
-        Room { most, held: Cell::new(0), last: Cell::new(0), queued: Cell::new(0) }
+        let (guests, last) = (RefCell::default(), Cell::new(0));
+        Room { most, guests, last, freed: Signal::default(), queued: Cell::new(0) }
+    }
+
+    fn enter(&self, now: f64) -> Rc<Guest> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let guest = Rc::new(Guest {
+            id,
+            read: Cell::new(0),
+            answered: Cell::new(0),
+            used_ms: Cell::new(now),
+            spoke: Cell::new(false),
+            busy: Cell::new(false),
+            told: Cell::new(false),
+            way: Gate::default(),
+        });
+        self.guests.borrow_mut().insert(id, guest.clone());
+        guest
+    }
+
+    fn left(&self, id: u64) {
+        self.guests.borrow_mut().remove(&id);
+        self.freed.wake();
+    }
+
+    fn is_full(&self) -> bool {
+        self.guests.borrow().len() >= self.most
+    }
+
+    /// Asks one connection to make way: the oldest that never spoke, or else the one that was idle longest.
+    /// Without it hundreds that say nothing, or that ask once and stay, would shut all routers out.
+    fn make_way(&self, now: f64) {
+        let guests = self.guests.borrow();
+        let silent = guests.values().find(|guest| !guest.spoke.get());
+        let idle = || {
+            let spare = |g: &&Rc<Guest>| !g.busy.get() && now >= g.used_ms.get() + SPARED_MS;
+            let idle = guests.values().filter(spare);
+            idle.min_by(|a, b| a.used_ms.get().total_cmp(&b.used_ms.get()))
+        };
+        if let Some(guest) = silent.or_else(idle) {
+            guest.way.open();
+        }
     }
 }
 
@@ -187,19 +289,33 @@
 
 /// Accepts connections until the core shuts the listeners; `serve` has each, of `most` at a time. What it
 /// returns is the reason code of the end.
-pub async fn listen<F: Future<Output = Ended> + 'static>(
+pub async fn listen<F: Future<Output = &'static str> + 'static>(
     name: &'static str,
     listener: Async<TcpListener>,
     most: usize,
     front: Rc<Front>,
     executor: Rc<LocalExecutor<'static>>,
-    serve: impl Fn(Rc<Async<TcpStream>>, u64) -> F,
+    serve: impl Fn(Rc<Async<TcpStream>>, Rc<Guest>) -> F,
 ) {
     let mine = Rc::new(Cell::new(0));
+    if let Err(error) = rustix::net::listen(&listener, BACKLOG) {
+        log(format_args!("backlog-not-set {error}"));
+    }
     loop {
-        if front.room.held.get() >= front.room.most || mine.get() >= most {
-            // Descriptors are kept for the links; those that knock wait in the backlog.
-            front.clock.pause(FULL_MS).await;
+        if front.room.is_full() || mine.get() >= most {
+            // Descriptors are kept for the links; those that knock wait in the backlog until one gives way.
+            // Nobody is asked to go before one knocks.
+            let knocks = async { listener.readable().await.is_ok() };
+            let freed = async {
+                front.room.freed.wait().await;
+                false
+            };
+            if future::or(knocks, freed).await {
+                if front.room.is_full() {
+                    front.room.make_way(front.clock.now());
+                }
+                future::or(front.room.freed.wait(), front.clock.pause(FULL_MS)).await;
+            }
             continue;
         }
         let accepted = async { Some(listener.accept().await) };
@@ -212,26 +328,36 @@
             Some(Ok((stream, _))) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 count(&front.counters.connections);
-                front.room.held.set(front.room.held.get() + 1);
-                mine.set(mine.get() + 1);
-                let id = front.room.last.get() + 1;
-                front.room.last.set(id);
                 let began = front.clock.now();
-                let served = serve(Rc::new(stream), id);
+                let guest = front.room.enter(began);
+                mine.set(mine.get() + 1);
+                let served = serve(Rc::new(stream), guest.clone());
                 let (front, mine) = (front.clone(), mine.clone());
                 let connection = async move {
-                    let Ended { reason, read, answered } = served.await;
-                    front.room.held.set(front.room.held.get() - 1);
+                    // Not told, it is left to the callers and to the want of room.
+                    let idle_ms = Some(front.site.settings.idle_ms).filter(|ms| *ms > 0.0);
+                    let idle_ms = idle_ms.unwrap_or(f64::INFINITY);
+                    let gave_way = async {
+                        guest.way.passed().await;
+                        "gave-way"
+                    };
+                    let end = future::or(gave_way, guest.overstays(&front.clock, idle_ms));
+                    let reason = future::or(served, end).await;
+                    front.room.left(guest.id);
                     mine.set(mine.get() - 1);
                     count(&front.counters.connections_ended);
-                    let after = front.clock.now() - began;
                     log(format_args!(
-                        "conn={id} front={name} ended reason={reason} read={read} answered={answered} \
-                         after_ms={after:.0}"
+                        "conn={} front={name} ended reason={reason} read={} answered={} after_ms={:.0}",
+                        guest.id,
+                        guest.read.get(),
+                        guest.answered.get(),
+                        front.clock.now() - began
                     ));
-                    let _ = front.queue.send(Input::Closed(id)).await;
+                    let _ = front.queue.send(Input::Closed(guest.id)).await;
                 };
                 executor.spawn(connection).detach();
+                // Each gets to read before another is asked to make way.
+                future::yield_now().await;
             }
             Some(Err(error)) => {
                 log(format_args!("accept-failed {}", error.to_string().replace(' ', "-")));
@@ -242,16 +368,6 @@
     }
 }
 
-/// How a connection ended.
-pub struct Ended {
-    /// The reason code.
-    pub reason: &'static str,
-    /// Requests and checks read.
-    pub read: u64,
-    /// Requests answered.
-    pub answered: u64,
-}
-
 /// The writing half of a caller's connection: its bounded queue, and its end.
 pub struct Writer {
     outbox: Outbox,
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -11,7 +11,7 @@
 
 use super::core::{Arrival, Caller, Input, Reply};
 use super::observe::count;
-use super::{Ended, Front, Writer};
+use super::{Front, Guest, MESSAGE_MS, Writer};
 use crate::Effect;
 use crate::settings::Site;
 
@@ -352,14 +352,11 @@
 // ---- connections ----
 
 struct Connection {
-    id: u64,
+    guest: Rc<Guest>,
     front: Rc<Front>,
     writer: Writer,
     open: RefCell<BTreeSet<u64>>,
     last_id: Cell<u64>,
-    told_to_go: Cell<bool>,
-    used_ms: Cell<f64>,
-    answers: Cell<u64>,
 }
 
 impl Connection {
@@ -368,6 +365,13 @@
         self.front.status.hint.get().map(|value| ("hint", format!("{value:.4}"))).into_iter().collect()
     }
 
+    /// Takes a request off those that are open; tells whether it was.
+    fn close(&self, id: u64) -> bool {
+        let was_open = self.open.borrow_mut().remove(&id);
+        self.guest.busy.set(!self.open.borrow().is_empty());
+        was_open
+    }
+
     fn error(&self, id: u64, name: &str, more: Vec<(&'static str, String)>) {
         let mut fields = self.hint();
         fields.extend(more);
@@ -383,16 +387,16 @@
 
 impl Caller for Connection {
     fn id(&self) -> u64 {
-        self.id
+        self.guest.id
     }
 
     fn answer(&self, ticket: u64, reply: &Reply) {
         // Nothing is owed to a request that was given up, and nothing twice to any.
-        if !self.open.borrow_mut().remove(&ticket) {
+        if !self.close(ticket) {
             return;
         }
-        self.used_ms.set(self.front.clock.now());
-        self.answers.set(self.answers.get() + 1);
+        self.guest.used_ms.set(self.front.clock.now());
+        self.guest.answered.set(self.guest.answered.get() + 1);
         match reply {
             Reply::Served(result) => {
                 let fields = self.hint();
@@ -418,7 +422,8 @@
     }
 
     fn leave(&self) {
-        if !self.told_to_go.replace(true) {
+        if !self.guest.told.replace(true) {
+            self.guest.used_ms.set(self.front.clock.now());
             self.writer.push(|out| {
                 out.extend_from_slice(&[0x93, 0x02]);
                 write_str(out, "goaway");
@@ -428,51 +433,62 @@
     }
 
     fn leave_if_idle(&self, since_ms: f64) {
-        if self.used_ms.get() < since_ms && self.open.borrow().is_empty() {
+        if self.guest.used_ms.get() < since_ms && !self.guest.busy.get() {
             self.leave();
         }
     }
 }
 
 /// Serves one connection to its end.
-pub async fn serve(stream: Rc<Async<TcpStream>>, id: u64, front: Rc<Front>) -> Ended {
+pub async fn serve(stream: Rc<Async<TcpStream>>, guest: Rc<Guest>, front: Rc<Front>) -> &'static str {
     let connection = Rc::new(Connection {
-        id,
+        guest,
         front: front.clone(),
         writer: Writer::new(front.clone()),
         open: RefCell::new(BTreeSet::new()),
         last_id: Cell::new(0),
-        told_to_go: Cell::new(false),
-        used_ms: Cell::new(front.clock.now()),
-        answers: Cell::new(0),
     });
     let _ = front.queue.send(Input::Opened(connection.clone())).await;
     let writing = connection.writer.run(&stream, || connection.open.borrow().is_empty());
-    let reason = future::or(read(&stream, &connection), writing).await;
-    Ended { reason, read: connection.last_id.get(), answered: connection.answers.get() }
+    future::or(read(&stream, &connection), writing).await
 }
 
 async fn read(mut stream: &Async<TcpStream>, connection: &Rc<Connection>) -> &'static str {
     let front = &connection.front;
     let mut input = Vec::new();
     let mut chunk = [0; 4096];
+    // When the message began whose first part is all there is.
+    let mut part_ms = None;
     loop {
-        match stream.read(&mut chunk).await {
-            Ok(0) => {
-                // What was read whole is still answered: the other side may only have ended its half. What
-                // was cut off was never read.
-                let told = connection.told_to_go.get();
-                connection.writer.end(if told { "drained" } else { "peer-closed" });
-                return future::pending().await;
+        let late = async {
+            match part_ms {
+                Some(began) => front.clock.until(began + MESSAGE_MS).await,
+                None => future::pending().await,
             }
-            Ok(n) => input.extend_from_slice(&chunk[..n]),
-            Err(_) => return "peer-reset",
+            None
+        };
+        let ended = match future::or(async { Some(stream.read(&mut chunk).await) }, late).await {
+            Some(Ok(0)) if connection.guest.told.get() => "drained",
+            Some(Ok(0)) => "peer-closed",
+            Some(Ok(n)) => {
+                input.extend_from_slice(&chunk[..n]);
+                ""
+            }
+            Some(Err(_)) => return "peer-reset",
+            None => "sender-stalled",
+        };
+        if !ended.is_empty() {
+            // What was read whole is still answered: the other side may only have ended its half. What was cut
+            // off was never read.
+            connection.writer.end(ended);
+            return future::pending().await;
         }
         loop {
             match take_message(&mut input, &front.site) {
                 Ok(None) => break,
                 Ok(Some(message)) => {
-                    connection.used_ms.set(front.clock.now());
+                    part_ms = None;
+                    connection.guest.heard(front.clock.now());
                     if let Err(error) = handle(message, connection).await {
                         return error.code();
                     }
@@ -480,6 +496,11 @@
                 Err(error) => return error.code(),
             }
         }
+        part_ms = (!input.is_empty()).then(|| part_ms.unwrap_or(front.clock.now()));
+        if input.is_empty() {
+            // A buffer that keeps its peak is memory for as long as the connection stays.
+            input = Vec::new();
+        }
         connection.writer.ready().await;
         future::yield_now().await;
     }
@@ -489,8 +510,8 @@
     let front = &connection.front;
     match message {
         Message::Abort(id) => {
-            if connection.open.borrow_mut().remove(&id) {
-                let _ = front.queue.send(Input::Gone(connection.id, id)).await;
+            if connection.close(id) {
+                let _ = front.queue.send(Input::Gone(connection.guest.id, id)).await;
             }
         }
         Message::Ping(id) => {
@@ -516,6 +537,7 @@
                         return Err(FrameError::TooManyOpen);
                     }
                     connection.open.borrow_mut().insert(id);
+                    connection.guest.busy.set(true);
                     let arrival = Arrival {
                         caller: connection.clone(),
                         ticket: id,
@@ -539,5 +561,6 @@
 }
 
 fn next_id(connection: &Connection, id: u64) -> Result<(), FrameError> {
+    connection.guest.read.set(connection.guest.read.get() + 1);
     if id <= connection.last_id.replace(id) { Err(FrameError::Id) } else { Ok(()) }
 }
