Give a call up after twenty times its usual time, so that lost replies starve no others

The log has "no room" and "no call", then gaps of 1.5 s.

Cause: brain.rs `make_calls` asked the store for a patience up to the due time, so a lost reply stayed in hand for seconds; `call_credit_ms` is paid down by the calls in hand, so a few lost replies took the whole share, and what needed calls piled up until memory and the time for scoring it (each score walks all entries) ran out. Ruled out: CPU before the pile (0.1 of a core) and descriptors (66 of 1024).

Changed: patience is 20 times the usual time of a call, 500 ms at least; what a lost reply was waited for is no longer learned as a call's time; one call cut off alone no longer holds back all others. links.rs ends a connection without reply, logs each one's end, keeps at most 8, and takes none out of the pool for a call that must be new.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,6 +64,15 @@
 const CALL_PAUSE_MS: f64 = 50.0;
 const CALL_PAUSE_MOST_MS: f64 = 800.0;
 
+/// Time after which a call is given up, as a multiple of the time of one, 1, and at the least, ms. A reply
+/// that was lost never comes; waited for until the due time, its call would be paid for out of the share of
+/// others, and what needs calls would pile up behind it. Over a slow dependency 8 times loses.
+const CALL_PATIENCE: f64 = 20.0;
+const CALL_PATIENCE_LEAST_MS: f64 = 500.0;
+/// What a call cut off or without reply tells of the dependency, beside one that was turned away, 1: one
+/// alone may be a lost reply, two in a row are none.
+const CALL_CUT_OFF: f64 = 0.5;
+
 /// Work of a request before any was seen, as a part of its aim.
 const FIRST_WORK: f64 = 0.15;
 /// Weight of a new observation of this server's speed, 1, and of the mean work of a class: speed changes
@@ -780,13 +789,14 @@
             let entry = self.entries.get_mut(&id).expect("just listed");
             entry.state = State::Calling;
             entry.calls += 1.0;
-            out.push(Action::Call { id, patience_ms: (entry.due_ms - now).max(1.0) });
+            let patience_ms = (self.call_ms * CALL_PATIENCE).max(CALL_PATIENCE_LEAST_MS);
+            out.push(Action::Call { id, patience_ms: patience_ms.min(entry.due_ms - now).max(1.0) });
         }
     }
 
     /// Calls that may be in hand. After a failure one at a time feels out whether the dependency is back.
     fn most_calls(&self) -> f64 {
-        if self.call_failures > 0.0 { 1.0 } else { self.set.calls_share.max(1.0) }
+        if self.call_failures >= 1.0 { 1.0 } else { self.set.calls_share.max(1.0) }
     }
 
     /// Calls that may be in hand in the mean: call time that is earned in a unit of time.
@@ -799,15 +809,20 @@
         if outcome == Outcome::Done {
             self.call_failures = 0.0;
         } else {
-            let pause = CALL_PAUSE_MS * self.call_failures.min(10.0).exp2();
-            self.calls_from_ms = now + pause.min(CALL_PAUSE_MOST_MS);
-            self.call_failures += 1.0;
+            let cut_off = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+            self.call_failures += if cut_off { CALL_CUT_OFF } else { 1.0 };
+            if self.call_failures >= 1.0 {
+                let pause = CALL_PAUSE_MS * (self.call_failures - 1.0).min(10.0).exp2();
+                self.calls_from_ms = now + pause.min(CALL_PAUSE_MOST_MS);
+            }
         }
         if outcome == Outcome::TimedOut {
             self.abandoned.push(now + self.set.call_linger_ms);
         }
         if outcome == Outcome::Done || took_ms > self.call_ms {
-            self.call_ms += (took_ms - self.call_ms) * CALL_WEIGHT;
+            // How long one was waited for that never ended is this server's choice, and no call's time.
+            let time_ms = if outcome == Outcome::Done { took_ms } else { took_ms.min(2.0 * self.call_ms) };
+            self.call_ms += (time_ms - self.call_ms) * CALL_WEIGHT;
         }
         let share = self.share_now(now);
         let Some(entry) = self.entries.get_mut(&id) else { return };
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -31,8 +31,12 @@
 /// Idle time after which a connection to the store is not used again, ms. The store closes or forgets idle ones
 /// long before the 10 s it promises; a call written into that ends uncertain.
 const STORE_IDLE_MS: f64 = 500.0;
+/// Connections to the store that are kept for further calls.
+const STORE_IDLE_MOST: usize = 8;
 /// Wait for the reply to a call after the store should have said `LATE`, ms.
 const CALL_MARGIN_MS: f64 = 100.0;
+/// Reason code of a connection on which the reply to a call stayed away.
+const NO_REPLY: &str = "no-reply";
 /// Replies under other names that are passed over before the one that is waited for.
 const FOREIGN_MOST: u32 = 16;
 /// Between two reports to the membership service, ms: an entry lapses after 3 s, and reports get lost. With a
@@ -97,13 +101,14 @@
     Length,
 }
 
-impl std::fmt::Display for LineError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+impl LineError {
+    /// Reason code for the log.
+    fn code(self) -> &'static str {
+        match self {
             LineError::TooLong => "line-too-long",
             LineError::Malformed => "malformed-line",
             LineError::Length => "bad-length",
-        })
+        }
     }
 }
 
@@ -273,7 +278,7 @@
                 Ok(Some(line)) => {
                     let (number, news) = match engine_notice(line) {
                         Ok(notice) => notice,
-                        Err(error) => return error.to_string(),
+                        Err(error) => return error.code().to_owned(),
                     };
                     // Some come twice under one number.
                     if number.is_some_and(|n| n <= *last) {
@@ -292,7 +297,7 @@
                     // Only now: the link may break while the core's queue is full, and the notice with it.
                     *last = number.unwrap_or(*last);
                 }
-                Err(error) => return error.to_string(),
+                Err(error) => return error.code().to_owned(),
             }
         }
     }
@@ -331,14 +336,24 @@
 
 // ---- store ----
 
-/// A connection to the store on which nothing is under way.
+/// A connection to the store; its end, whatever brings it, leaves one line in the log.
 #[derive(Debug)]
-struct Idle {
+struct Connection {
     stream: Async<TcpStream>,
     address: SocketAddr,
-    since_ms: f64,
+    began_ms: f64,
+    used_ms: f64,
     /// The last request that a call was made for here: a copy of its reply may still come.
     rid: String,
+    reason: &'static str,
+    clock: Clock,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let after_ms = self.clock.now() - self.began_ms;
+        log(format_args!("link=store ended reason={} rid={} after_ms={after_ms:.0}", self.reason, self.rid));
+    }
 }
 
 /// The way to the store, as the core uses it: each call ends with one [`Input::CallEnded`] unless it is dropped.
@@ -353,7 +368,7 @@
     executor: Rc<LocalExecutor<'static>>,
     /// The calls under way; one that is taken out is cancelled.
     calls: RefCell<HashMap<String, Task<()>>>,
-    idle: RefCell<Vec<Idle>>,
+    idle: RefCell<Vec<Connection>>,
 }
 
 impl StoreLink {
@@ -377,15 +392,10 @@
         with_body(&mut bytes, &format!("CALL {rid} {patience_ms:.0}"), body);
         let (link, name) = (self.clone(), rid.to_owned());
         let call = async move {
-            let late = async {
-                link.clock.pause(patience_ms + CALL_MARGIN_MS).await;
-                Err(CallError("no-reply".into(), Outcome::TimedOut))
+            let (outcome, reply) = match link.converse(&name, &bytes, patience_ms, once).await {
+                Ok((outcome, reply)) => (outcome, reply),
+                Err(outcome) => (outcome, None),
             };
-            let end = future::or(link.converse(&name, &bytes, once), late).await;
-            let (outcome, reply) = end.unwrap_or_else(|CallError(reason, outcome)| {
-                log(format_args!("link=store ended reason={} rid={name}", reason.replace(' ', "-")));
-                (outcome, None)
-            });
             let _ = link.queue.send(Input::CallEnded(name.clone(), outcome, reply)).await;
             link.calls.borrow_mut().remove(&name);
         };
@@ -400,17 +410,22 @@
     }
 
     /// A used connection that is as good as new, if there is one.
-    fn used(&self, rid: &str) -> Option<Async<TcpStream>> {
+    fn used(&self, rid: &str) -> Option<Connection> {
         let (now, address) = (self.clock.now(), self.peers.store.get());
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|i| now < i.since_ms + STORE_IDLE_MS && i.address == address);
+        for connection in idle.iter_mut() {
+            connection.reason = if connection.address == address { "idle" } else { "moved" };
+        }
+        idle.retain(|i| now < i.used_ms + STORE_IDLE_MS && i.address == address);
         while let Some(at) = idle.iter().rposition(|i| i.rid != rid) {
-            let stream = idle.remove(at).stream;
+            let mut connection = idle.remove(at);
             // Anything to read is its end, or a copy of a reply that was read.
-            let quiet = stream.get_ref().peek(&mut [0]);
+            let quiet = connection.stream.get_ref().peek(&mut [0]);
             if quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
-                return Some(stream);
+                connection.reason = "given-up";
+                return Some(connection);
             }
+            connection.reason = "closed";
         }
         None
     }
@@ -420,62 +435,92 @@
         &self,
         rid: &str,
         call: &[u8],
+        patience_ms: f64,
         once: bool,
-    ) -> Result<(Outcome, Option<Vec<u8>>), CallError> {
-        let address = self.peers.store.get();
-        let stream = match self.used(rid).filter(|_| !once) {
-            Some(stream) => stream,
+    ) -> Result<(Outcome, Option<Vec<u8>>), Outcome> {
+        let used = if once { None } else { self.used(rid) };
+        let mut connection = match used {
+            Some(connection) => connection,
             None => {
+                let address = self.peers.store.get();
+                let began_ms = self.clock.now();
                 // Nothing was written: the call never ran.
-                let refused = |e: io::Error| CallError(e.to_string(), Outcome::Unreachable);
-                let stream = connect(address, &self.clock).await.map_err(refused)?;
+                let stream = connect(address, &self.clock).await.map_err(|_| Outcome::Unreachable)?;
                 count(&self.counters.store_links);
-                stream
+                let (rid, clock) = (String::new(), self.clock.clone());
+                Connection { stream, address, began_ms, used_ms: began_ms, rid, reason: "given-up", clock }
             }
         };
+        connection.rid = rid.to_owned();
         // From here on it may have run, whatever becomes of the connection.
-        let broken = |reason: String| CallError(reason, Outcome::Reset);
-        let mut socket = &stream;
-        socket.write_all(call).await.map_err(|e| broken(e.to_string()))?;
+        let until = self.clock.now() + patience_ms + CALL_MARGIN_MS;
+        let end = self.reply(rid, call, until, &connection.stream).await;
+        match end {
+            Ok((line, outcome, alone)) => {
+                connection.used_ms = self.clock.now();
+                if alone {
+                    let mut idle = self.idle.borrow_mut();
+                    idle.push(connection);
+                    if idle.len() > STORE_IDLE_MOST {
+                        idle.remove(0).reason = "idle";
+                    }
+                } else {
+                    connection.reason = "more-than-asked";
+                }
+                Ok((outcome, (outcome == Outcome::Done).then_some(line.body)))
+            }
+            Err(reason) => {
+                connection.reason = reason;
+                Err(if reason == NO_REPLY { Outcome::TimedOut } else { Outcome::Reset })
+            }
+        }
+    }
+
+    /// Writes a call and reads up to its reply; tells too whether nothing came behind that. An error is the
+    /// reason code of the connection's end.
+    async fn reply(
+        &self,
+        rid: &str,
+        call: &[u8],
+        until: f64,
+        mut socket: &Async<TcpStream>,
+    ) -> Result<(Line, Outcome, bool), &'static str> {
+        socket.write_all(call).await.map_err(|_| "reset")?;
         let (mut input, mut chunk, mut foreign) = (Vec::new(), vec![0; 4096], 0);
         loop {
-            match socket.read(&mut chunk).await {
-                Ok(0) => return Err(broken("closed".into())),
+            let late = async {
+                self.clock.until(until).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            match future::or(socket.read(&mut chunk), late).await {
+                Ok(0) => return Err("closed"),
                 Ok(n) => input.extend_from_slice(&chunk[..n]),
-                Err(error) => return Err(broken(error.to_string())),
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => return Err(NO_REPLY),
+                Err(_) => return Err("reset"),
             }
             let has_body = |words: &[String]| words.get(1).is_some_and(|w| w == "OK");
-            while let Some(line) = take_line(&mut input, has_body).map_err(|e| broken(e.to_string()))? {
+            while let Some(line) = take_line(&mut input, has_body).map_err(LineError::code)? {
                 let outcome = match line.words.get(1).map(String::as_str) {
                     Some("OK") if line.words.len() == 3 => Outcome::Done,
                     // Nothing waits for the call any more: like one turned away, it never ran.
                     Some("BUSY" | "VOID") => Outcome::Declined,
                     Some("ERR") => Outcome::Failed,
                     Some("LATE") => Outcome::TimedOut,
-                    _ => return Err(broken(LineError::Malformed.to_string())),
+                    _ => return Err(LineError::Malformed.code()),
                 };
-                if line.words[0] != rid {
-                    // A copy of an earlier reply, or one under an unknown name, harms nobody; a stream does.
-                    foreign += 1;
-                    if foreign > FOREIGN_MOST {
-                        return Err(broken("foreign-replies".into()));
-                    }
-                    continue;
+                if line.words[0] == rid {
+                    return Ok((line, outcome, input.is_empty()));
                 }
-                if input.is_empty() {
-                    let since_ms = self.clock.now();
-                    let used = Idle { stream, address, since_ms, rid: rid.to_owned() };
-                    self.idle.borrow_mut().push(used);
+                // A copy of an earlier reply, or one under an unknown name, harms nobody; a stream does.
+                foreign += 1;
+                if foreign > FOREIGN_MOST {
+                    return Err("foreign-replies");
                 }
-                return Ok((outcome, (outcome == Outcome::Done).then_some(line.body)));
             }
         }
     }
 }
 
-/// How a call ended without a reply: a reason code, and what it proves.
-struct CallError(String, Outcome);
-
 // ---- membership ----
 
 /// A socket from which datagrams can be sent to this address.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -83,6 +83,32 @@
     assert_eq!(calls(&bench.pass(200.0, 0.1, 0.0)), 1, "proved not to have run: it may be made again");
 }
 
+#[test]
+fn a_reply_that_is_lost_is_not_waited_for_until_the_due_time() {
+    let mut bench = Bench::new(calling());
+    bench.arrive(Request { due_ms: Some(60_000.0), ..request(1, 0) });
+    let out = bench.tell(Event::NeedsCall { id: 1 });
+    let patience = out.iter().find_map(|a| match a {
+        Action::Call { patience_ms, .. } => Some(*patience_ms),
+        _ => None,
+    });
+    assert!(patience.is_some_and(|ms| ms < 6000.0), "a tenth of what its caller waits: {patience:?}");
+    let out = bench.tell(Event::CallEnded { id: 1, outcome: Outcome::TimedOut, took_ms: 1000.0 });
+    assert_eq!(calls(&out), 0, "that time was paid for and has to be earned again");
+    assert_eq!(calls(&bench.pass(3000.0, 0.1, 0.0)), 1, "a read may call again");
+}
+
+#[test]
+fn one_call_cut_off_stops_no_other() {
+    let mut bench = Bench::new(calling());
+    bench.arrive(Request { due_ms: Some(60_000.0), ..request(1, 0) });
+    bench.tell(Event::NeedsCall { id: 1 });
+    let out = bench.tell(Event::CallEnded { id: 1, outcome: Outcome::Reset, took_ms: 2.0 });
+    assert_eq!(calls(&out), 1, "its reply was spoilt, and the next may not be");
+    let out = bench.tell(Event::CallEnded { id: 1, outcome: Outcome::Reset, took_ms: 2.0 });
+    assert_eq!(calls(&out), 0, "two in a row are no chance");
+}
+
 #[test]
 fn a_keyed_call_that_may_have_run_is_not_repeated() {
     let mut bench = Bench::new(calling());
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -290,6 +290,17 @@
     engine expect FEED 00000000000000a2|this
     store wait CALL 00000000000000a1 *|which"
 )]
+#[case::a_call_without_a_reply_is_made_again_on_another_connection(
+    "
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    engine send NEED 1 00000000000000a1|which
+    store expect CALL 00000000000000a1 *|which
+    node wait link=store ended reason=no-reply rid=00000000000000a1 *
+    store wait CALL 00000000000000a1 *|which
+    store send 00000000000000a1 OK|that
+    engine expect FEED 00000000000000a1|that"
+)]
 #[case::replies_that_belong_to_no_call_harm_nobody(
     "
     rpc send 1 look rid=a1|paper
