--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -529,7 +529,9 @@
     }
 
     /// Sends again what the engine may not have seen: beginning a run that runs, and stopping one, change
-    /// nothing the second time.
+    /// nothing the second time. Nor does a reply to a call whose run has told nothing since: lost with the old
+    /// link, it would leave the run waiting until its due time. Probes showed that a run that goes on passes a
+    /// second reply over, and that a later call takes none but its own.
     fn resend(&mut self) {
         for open in self.open.values_mut() {
             let unread = |asks: u64| asks >= self.acked;
