--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,7 +68,7 @@
 /// that was lost never comes; waited for until the due time, its call would be paid for out of the share of
 /// others, and what needs calls would pile up behind it. Over a slow dependency 8 times loses.
 const CALL_PATIENCE: f64 = 20.0;
-const CALL_PATIENCE_LEAST_MS: f64 = 500.0;
+const CALL_PATIENCE_LEAST_MS: f64 = 250.0;
 /// What a call cut off or without reply tells of the dependency, beside one that was turned away, 1: one
 /// alone may be a lost reply, two in a row are none.
 const CALL_CUT_OFF: f64 = 0.5;
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -34,7 +34,7 @@
 /// Connections to the store that are kept for further calls.
 const STORE_IDLE_MOST: usize = 8;
 /// Wait for the reply to a call after the store should have said `LATE`, ms.
-const CALL_MARGIN_MS: f64 = 100.0;
+const CALL_MARGIN_MS: f64 = 50.0;
 /// Reason code of a connection on which the reply to a call stayed away.
 const NO_REPLY: &str = "no-reply";
 /// Replies under other names that are passed over before the one that is waited for.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -204,6 +204,30 @@
     ajp expect closed
     node wait conn=3 front=ajp ended reason=sender-stalled *"
 )]
+#[case::one_that_was_told_to_go_and_stays_is_closed(
+    "
+    rpc send 1 ping
+    rpc expect [1 1 nil *
+    node send TERM
+    rpc expect [2 goaway []]
+    rpc expect closed
+    node wait conn=1 front=rpc ended reason=told-to-go *"
+)]
+#[case::a_call_that_must_not_be_made_twice_gets_a_new_connection(
+    "
+    rpc send 1 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    engine send NEED 1 00000000000000a1|which
+    store expect CALL 00000000000000a1 *|which
+    store send 00000000000000a1 OK|that
+    engine expect FEED 00000000000000a1|that
+    rpc send 2 write rid=a2 token=k|paper
+    engine expect RUN 00000000000000a2 write|paper
+    engine send NEED 2 00000000000000a2|what
+    store wait CALL 00000000000000a2 *|what
+    node send USR1
+    node wait counters * store_links=2 *"
+)]
 #[case::a_reload_moves_all_three_links(
     "
     rpc send 1 write rid=a1 token=k|paper
@@ -681,11 +705,105 @@
     );
 }
 
+/// What routers would have closed themselves belongs to none that lives.
+#[test]
+fn one_that_asked_once_and_stays_is_closed() {
+    let store = scenario::service(Box::new(|_| Vec::new()));
+    let mut world = World::start_with(Box::new(idle_gauges), store, 300);
+    world.run(UP);
+    world.run(
+        "rpc send 1 ping
+         rpc expect [1 1 nil *
+         rpc expect closed
+         node wait conn=1 front=rpc ended reason=idle *",
+    );
+}
+
+/// Reports get lost and an entry lapses 3 s after its last: half of that time has to hold several.
+#[test]
+fn reports_are_repeated_often_enough_for_some_to_be_lost() {
+    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
+    world.run(UP);
+    let reports = |world: &mut World| -> u32 {
+        world.run("node send USR1");
+        let counters = world.wait("node", "counters *");
+        let (_, rest) = counters.split_once(" reports=").expect("counted");
+        rest.split(' ').next().and_then(|n| n.parse().ok()).expect("a number")
+    };
+    let before = reports(&mut world);
+    // The program's own clock ends this after 1.5 s.
+    world.run(
+        "rpc send 1 brief rid=a1|paper
+         rpc expect [1 1 [Failed *] nil]",
+    );
+    let during = reports(&mut world) - before;
+    assert!(during >= 4, "{during} reports in half the life of an entry");
+}
+
+/// An engine that answers no gauges on its first link proves nothing there; on the second it does, and with
+/// `proves` it does so on the first too, once it has a reply.
+fn forgetful_engine(proves: bool) -> scenario::Answer {
+    let (mut links, mut fed) = (0, 0);
+    Box::new(move |text| {
+        links += i32::from(text.starts_with("ATTACH"));
+        fed += i32::from(fed > 0 && text.starts_with("STAT") || text.starts_with("FEED"));
+        match text.starts_with("STAT") {
+            true if links > 1 || (proves && fed == 2) => idle_gauges(text),
+            true if proves && fed == 3 => Vec::new(),
+            true => vec!["NOTE 0 silent".into()],
+            false => Vec::new(),
+        }
+    })
+}
+
+const FED: &str = "
+engine expect ATTACH 0
+engine send HELLO hot 5000
+members wait HB n1 UP
+rpc send 1 write rid=a1 token=k|paper
+engine expect RUN 00000000000000a1 write|paper
+engine send NEED 1 00000000000000a1|which
+store expect CALL 00000000000000a1 *|which
+store send 00000000000000a1 OK|that
+engine expect FEED 00000000000000a1|that";
+
+/// A command written just before the link broke may be lost; the run would wait until its due time.
+#[test]
+fn a_reply_that_may_be_lost_with_the_engine_link_is_fed_again() {
+    let mut world = World::start(forgetful_engine(false), Box::new(|_| Vec::new()));
+    world.run(FED);
+    world.run(
+        "engine close
+         engine expect closed
+         engine expect ATTACH 1
+         engine send HELLO hot 6000
+         engine expect FEED 00000000000000a1|that
+         engine send DONE 2 00000000000000a1 complete 12|receipt
+         rpc expect [1 1 nil [receipt *",
+    );
+}
+
+/// Gauges that were asked for behind it prove that a reply was read: it is not fed again.
+#[test]
+fn a_reply_that_was_read_is_not_fed_again() {
+    let mut world = World::start(forgetful_engine(true), Box::new(|_| Vec::new()));
+    world.run(FED);
+    world.run(
+        "engine expect STAT *
+         engine close
+         engine expect closed
+         engine expect ATTACH 1
+         engine send HELLO hot 6000
+         rpc send 2 look rid=a2|paper
+         engine expect RUN 00000000000000a2 look|paper",
+    );
+}
+
 /// A refused connection proves that no call ran: a write is not failed for it, and its call is made later.
 #[test]
 fn while_the_store_is_down_no_call_ran() {
     let (store, address) = scenario::down();
-    let mut world = World::start_with_store(Box::new(idle_gauges), (store, address));
+    let mut world = World::start_with(Box::new(idle_gauges), (store, address), 0);
     world.run(UP);
     world.run(
         "rpc send 1 write rid=a1 token=k|paper
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -414,7 +414,7 @@
  "contract":{"answerSlackMs":100,"drainGraceMs":2000,"fallMultiple":8,"tipAfterMs":3000},
  "ceilings":{"retryAfter":true,"maxRetryAfterMs":1000},
  "specifics":{"cores":4,"heapKb":30000,"runFactor":4,"keyKb":5,"preemption":"drop","signal":"weight",
- "registryFollows":true,"classCalls":[true,false,true],"callsOut":8,"callsOverMs":5000,"lingerMs":200,
+ "registryFollows":true,"callerIdleMs":IDLE,"classCalls":[true,false,true],"callsOut":8,"callsOverMs":5000,"lingerMs":200,
  "gauges":["cpu_busy","runnable","mem_used","sockets"]}}"#;
 
 static FOLDERS: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
@@ -422,11 +422,12 @@
 impl World {
     /// Starts the program among its stand-ins. `engine` and `store` have each line first.
     pub fn start(engine: Answer, store: Answer) -> World {
-        World::start_with_store(engine, service(store))
+        World::start_with(engine, service(store), 0)
     }
 
-    /// The same with a store that is made elsewhere.
-    pub fn start_with_store(engine: Answer, store: (Actor, SocketAddr)) -> World {
+    /// The same with a store that is made elsewhere, and callers that close idle connections after that time.
+    pub fn start_with(engine: Answer, store: (Actor, SocketAddr), idle_ms: u32) -> World {
+        let settings = SETTINGS.replace("IDLE", &idle_ms.to_string());
         let mut actors = HashMap::new();
         let mut add = |name: &str, (actor, address): (Actor, SocketAddr)| {
             actors.insert(name.to_owned(), actor);
@@ -448,7 +449,7 @@
             format!(
                 r#"{{"name":"n1","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}",
                 "store":"{store}","seed":"8c1f30d27a5be964","stop_ms":3000,
-                "limits":{{"cores":1,"memory_mb":192,"sockets":256}},"settings":{SETTINGS}}}"#
+                "limits":{{"cores":1,"memory_mb":192,"sockets":256}},"settings":{settings}}}"#
             )
         };
         std::fs::write(&config, text(engine, members, store)).expect("written");
