Bound what callers leave unread by a part of the memory; leave a silent old engine sooner

Now a quarter of memory_mb; a test with a small limit sees the connection end, which it did not before. links.rs waited up to 1 s for the last gauges of an old engine link on a reload; what these do not prove is sent again anyway, so 250 ms do.

--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -209,7 +209,7 @@
         counters: counters.clone(),
         clock: clock.clone(),
         queue: queue.clone(),
-        room: Room::new(connections),
+        room: Room::new(connections, config.limits.memory_mb),
     });
     if let Some(Ajp { listen, secret, mem_kb }) = edge.ajp {
         let (listener, address) = self::listen("ajp", listen)?;
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -43,9 +43,9 @@
 /// quarter lost one entry in 250 would lapse at four reports in that time; at a dozen none does.
 const REPORT_MS: f64 = 250.0;
 /// The gauges that a link which is to be left asks for last, and the wait for them, ms: they prove that every
-/// command before them was read. An address that is given up closes its connections after 1.5 s.
+/// command before them was read. What an engine that stays silent may have missed is sent again on the new link.
 const LAST_TAG: u64 = 0;
-const LEAVE_MS: f64 = 1000.0;
+const LEAVE_MS: f64 = 250.0;
 
 /// Where the three services are. A reload moves them while the links are in use.
 #[derive(Debug)]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,8 +28,8 @@
 /// Queued bytes past which a connection is not read, and past which it is given up: its reader is too slow.
 const QUEUE_PAUSE: usize = 64 * 1024;
 const QUEUE_MOST: usize = 256 * 1024;
-/// The same over all connections.
-const QUEUES_MOST: usize = 32 * 1024 * 1024;
+/// The same over all connections, as a part of the process memory: hundreds that read nothing must not fill it.
+const QUEUES_PART: f64 = 0.25;
 /// Time without progress of a writer that has something to write, ms.
 const STALL_MS: f64 = 15_000.0;
 /// Wait before another look for a free descriptor, ms.
@@ -220,13 +220,15 @@
     last: Cell<u64>,
     freed: Signal,
     queued: Cell<usize>,
+    queued_most: usize,
 }
 
 impl Room {
-    /// Room for that many connections.
-    pub fn new(most: usize) -> Self {
-        let (guests, last) = (RefCell::default(), Cell::new(0));
-        Room { most, guests, last, freed: Signal::default(), queued: Cell::new(0) }
+    /// Room for that many connections, in a process that may take so much memory.
+    pub fn new(most: usize, memory_mb: f64) -> Self {
+        let (guests, last, queued) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        let queued_most = (memory_mb * 1_048_576.0 * QUEUES_PART) as usize;
+        Room { most, guests, last, freed: Signal::default(), queued, queued_most }
     }
 
     fn enter(&self, now: f64) -> Rc<Guest> {
@@ -391,7 +393,7 @@
 
     /// Queues bytes, and marks the connection for its end if nobody reads what is queued.
     pub fn push(&self, fill: impl FnOnce(&mut Vec<u8>)) {
-        if self.outbox.backlog() > QUEUE_MOST || self.front.room.queued.get() > QUEUES_MOST {
+        if self.outbox.backlog() > QUEUE_MOST || self.front.room.queued.get() > self.front.room.queued_most {
             self.too_slow.set(true);
             self.outbox.wake();
             return;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -619,11 +619,8 @@
     assert!(doubles.is_empty(), "run more than once: {doubles:?}");
 }
 
-/// A router that sends and never reads is not read either once its answers pile up, and holds up no one else.
-#[test]
-fn one_that_never_reads_stalls_nobody() {
-    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
-    world.run(UP);
+/// Sends checks and reads no answer, until nothing more is taken.
+fn deafen(world: &World) -> TcpStream {
     let mut deaf = TcpStream::connect(world.listen).expect("the program listens");
     deaf.set_write_timeout(Some(Duration::from_secs(1))).expect("a time-out");
     let mut ids = 1..=4_000_000_u32;
@@ -635,6 +632,15 @@
         }
     };
     assert!(blocked, "the program went on reading for a caller that reads nothing");
+    deaf
+}
+
+/// A router that sends and never reads is not read either once its answers pile up, and holds up no one else.
+#[test]
+fn one_that_never_reads_stalls_nobody() {
+    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
+    world.run(UP);
+    let deaf = deafen(&world);
     world.run(
         "rpc send 1 look rid=a1|paper
          engine expect RUN 00000000000000a1 look|paper
@@ -645,6 +651,16 @@
     world.run("node wait conn=1 front=rpc ended *");
 }
 
+/// What all those that read nothing leave unread stays within a part of the memory, however small that is.
+#[test]
+fn what_is_not_read_does_not_fill_the_memory() {
+    let store = scenario::service(Box::new(|_| Vec::new()));
+    let mut world = World::start_with(Box::new(idle_gauges), store, 0, 0.1);
+    world.run(UP);
+    let _deaf = deafen(&world);
+    world.run("node wait conn=1 front=rpc ended reason=reader-too-slow *");
+}
+
 /// One that waited on full cores until no time was left is refused at once, and told when to come back.
 #[test]
 fn given_up_after_a_wait_it_is_told_when_to_come_back() {
@@ -709,7 +725,7 @@
 #[test]
 fn one_that_asked_once_and_stays_is_closed() {
     let store = scenario::service(Box::new(|_| Vec::new()));
-    let mut world = World::start_with(Box::new(idle_gauges), store, 300);
+    let mut world = World::start_with(Box::new(idle_gauges), store, 300, 192.0);
     world.run(UP);
     world.run(
         "rpc send 1 ping
@@ -803,7 +819,7 @@
 #[test]
 fn while_the_store_is_down_no_call_ran() {
     let (store, address) = scenario::down();
-    let mut world = World::start_with(Box::new(idle_gauges), (store, address), 0);
+    let mut world = World::start_with(Box::new(idle_gauges), (store, address), 0, 192.0);
     world.run(UP);
     world.run(
         "rpc send 1 write rid=a1 token=k|paper
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -422,11 +422,12 @@
 impl World {
     /// Starts the program among its stand-ins. `engine` and `store` have each line first.
     pub fn start(engine: Answer, store: Answer) -> World {
-        World::start_with(engine, service(store), 0)
+        World::start_with(engine, service(store), 0, 192.0)
     }
 
-    /// The same with a store that is made elsewhere, and callers that close idle connections after that time.
-    pub fn start_with(engine: Answer, store: (Actor, SocketAddr), idle_ms: u32) -> World {
+    /// The same with a store that is made elsewhere, callers that close idle connections after that time, and a
+    /// limit of memory.
+    pub fn start_with(engine: Answer, store: (Actor, SocketAddr), idle_ms: u32, memory_mb: f64) -> World {
         let settings = SETTINGS.replace("IDLE", &idle_ms.to_string());
         let mut actors = HashMap::new();
         let mut add = |name: &str, (actor, address): (Actor, SocketAddr)| {
@@ -449,7 +450,7 @@
             format!(
                 r#"{{"name":"n1","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}",
                 "store":"{store}","seed":"8c1f30d27a5be964","stop_ms":3000,
-                "limits":{{"cores":1,"memory_mb":192,"sockets":256}},"settings":{settings}}}"#
+                "limits":{{"cores":1,"memory_mb":{memory_mb},"sockets":256}},"settings":{settings}}}"#
             )
         };
         std::fs::write(&config, text(engine, members, store)).expect("written");
