End a connection whose reader is too slow even while a write to it is blocked

Checked: with a receiver whose buffer is small and fixed, so that the first blocked write is final, 6 of 6 runs failed. Ruled out: slowness of the machine; the time-outs of the test play no part. At fault: src/node/mod.rs, Writer::run looked at the mark of too slow a reader only after flush() had returned, and a write that nobody reads never returns; with a queue limit below QUEUE_PAUSE the front went on reading and dropping answers until the stall watch ended it, 15 to 30 s later. Also, past the sum over all queues the next connection that wrote was ended, a good router too.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,7 +29,8 @@
 const QUEUE_PAUSE: usize = 64 * 1024;
 const QUEUE_MOST: usize = 256 * 1024;
 /// The same over all connections, as a part of the process memory: hundreds that read nothing must not fill it.
-const QUEUES_PART: f64 = 0.25;
+/// Past it each may still queue an even share, so that those who read don't pay for those who don't.
+const QUEUES_PART: f64 = 0.125;
 /// Time without progress of a writer that has something to write, ms.
 const STALL_MS: f64 = 15_000.0;
 /// Wait before another look for a free descriptor, ms.
@@ -253,6 +254,11 @@
         self.freed.wake();
     }
 
+    /// Whether a connection that has so many bytes queued takes more than is left for it.
+    fn is_queued_full(&self, backlog: usize) -> bool {
+        self.queued.get() > self.queued_most && backlog * self.guests.borrow().len() > self.queued_most
+    }
+
     fn is_full(&self) -> bool {
         self.guests.borrow().len() >= self.most
     }
@@ -375,7 +381,7 @@
     outbox: Outbox,
     front: Rc<Front>,
     accounted: Cell<usize>,
-    too_slow: Cell<bool>,
+    too_slow: Gate,
     ending: Cell<Option<&'static str>>,
 }
 
@@ -386,16 +392,16 @@
             outbox: Outbox::default(),
             front,
             accounted: Cell::new(0),
-            too_slow: Cell::new(false),
+            too_slow: Gate::default(),
             ending: Cell::new(None),
         }
     }
 
     /// Queues bytes, and marks the connection for its end if nobody reads what is queued.
     pub fn push(&self, fill: impl FnOnce(&mut Vec<u8>)) {
-        if self.outbox.backlog() > QUEUE_MOST || self.front.room.queued.get() > self.front.room.queued_most {
-            self.too_slow.set(true);
-            self.outbox.wake();
+        let backlog = self.outbox.backlog();
+        if backlog > QUEUE_MOST || self.front.room.is_queued_full(backlog) {
+            self.too_slow.open();
             return;
         }
         self.outbox.push(fill);
@@ -430,19 +436,22 @@
                     self.front.clock.pause(STALL_MS).await;
                     let now = self.outbox.backlog();
                     if left > 0 && now >= left {
-                        return None;
+                        return "reader-stalled";
                     }
                     left = now;
                 }
             };
-            let flushed = async { Some(self.outbox.flush(stream).await) };
-            match future::or(flushed, stalled).await {
-                Some(Ok(())) => self.account(self.outbox.backlog()),
-                Some(Err(_)) => return "peer-reset",
-                None => return "reader-stalled",
-            }
-            if self.too_slow.get() {
-                return "reader-too-slow";
+            // A write that nobody reads never returns: what ends the connection must not wait for it, or its
+            // requests would go on being read and their answers dropped.
+            let too_slow = async {
+                self.too_slow.passed().await;
+                Err("reader-too-slow")
+            };
+            let stalled = async { Err(stalled.await) };
+            let flushed = async { self.outbox.flush(stream).await.map_err(|_| "peer-reset") };
+            match future::or(too_slow, future::or(flushed, stalled)).await {
+                Ok(()) => self.account(self.outbox.backlog()),
+                Err(reason) => return reason,
             }
             if let Some(reason) = self.ending.get().filter(|_| nothing_open() && self.outbox.backlog() == 0) {
                 return reason;
@@ -456,3 +465,20 @@
         self.account(0);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Past the limit on all queues the one that took the most of it is at fault, not the one that writes next.
+    #[test]
+    fn who_reads_does_not_pay_for_who_does_not() {
+        let room = Room::new(10, 8.0 / 1_048_576.0 * 1000.0);
+        let _guests: Vec<_> = (0..4).map(|_| room.enter(0.0)).collect();
+        room.queued.set(1000);
+        assert!(!room.is_queued_full(1000), "up to the limit each may take what it needs");
+        room.queued.set(1001);
+        assert!(room.is_queued_full(251));
+        assert!(!room.is_queued_full(250), "an even share of four is left to each");
+    }
+}
