Let runs go on without a call that comes too late; calls go first to those that need them

Ruled out: the connections, the reading and the load of bad clients (holds only with 11 and more on the cores, CPU at 0.11 of a core in the worst second). At fault: src/brain.rs, score() took all of the hinted work as still to do for a request at its call; make_calls() failed what no call could help; call_wait_ms() counted calls that can be left out before those that can't. Now: the part of the work done at a call is learned and tells what is left; a run goes on without its call as late as it can, where that is worth something; call time is kept for runs that can't. SKIP names its notice, so it is sent again after a broken link.

--- a/src/bin/pinepoint-adapter/wire.rs
+++ b/src/bin/pinepoint-adapter/wire.rs
@@ -58,6 +58,10 @@
         txn: u32,
         patience_ms: f64,
     },
+    DoWithout {
+        server: u64,
+        txn: u32,
+    },
     StoreKey {
         server: u64,
         txn: u32,
@@ -318,6 +322,7 @@
         Action::Fail { id } => Line::Error { server, txn: id },
         Action::Halt { id } => Line::Preempt { server, txn: id },
         Action::Call { id, patience_ms } => Line::GoCall { server, txn: id, patience_ms },
+        Action::Skip { id } => Line::DoWithout { server, txn: id },
         Action::Remember { id, for_ms } => Line::StoreKey { server, txn: id, for_time_ms: for_ms },
         Action::Forget { id } => Line::ReleaseKey { server, txn: id },
         Action::Reuse { id } => Line::Echo { server, txn: id },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,6 +59,10 @@
 /// Time of a call before any was seen, ms, and weight of a new observation, 1.
 const FIRST_CALL_MS: f64 = 50.0;
 const CALL_WEIGHT: f64 = 0.2;
+/// Part of its work that a run has done when it stops before a call, 1: before any was seen, and the least
+/// that one shows.
+const FIRST_PART_AT_CALL: f64 = 0.5;
+const PART_LEAST: f64 = 0.1;
 /// Wait before a call that was proved not to have run is made again, ms: doubled with every failure in
 /// a row up to the longest, so that a dead dependency is not hammered.
 const CALL_PAUSE_MS: f64 = 50.0;
@@ -204,6 +208,8 @@
     share_at_start: f64,
     calls: f64,
     stopped_share: f64,
+    /// Core time received when it last stopped before a call, ms.
+    done_ms: f64,
 }
 
 /// Decides for one server. Feed it events in order and carry out the actions.
@@ -244,6 +250,7 @@
     abandoned: Vec<f64>,
     call_ms: f64,
     calls_per_run: Vec<f64>,
+    part_at_call: f64,
     call_failures: f64,
     calls_from_ms: f64,
     call_credit_ms: f64,
@@ -301,6 +308,7 @@
             abandoned: Vec::new(),
             call_ms: FIRST_CALL_MS,
             calls_per_run: settings.classes.iter().map(|c| if c.calls { 1.0 } else { 0.0 }).collect(),
+            part_at_call: FIRST_PART_AT_CALL,
             call_failures: 0.0,
             calls_from_ms: f64::NEG_INFINITY,
             call_credit_ms: 0.0,
@@ -342,6 +350,7 @@
                 if let Some(entry) = self.entries.get_mut(&id) {
                     entry.state = State::AtCall;
                     entry.stopped_share = share;
+                    entry.done_ms = (share - entry.share_at_start).max(0.1);
                 }
             }
             Event::CallEnded { id, outcome, took_ms } => self.call_ended(now, id, outcome, took_ms, out),
@@ -445,6 +454,7 @@
             share_at_start: 0.0,
             calls: 0.0,
             stopped_share: 0.0,
+            done_ms: 0.0,
         };
         self.entries.insert(id, entry);
     }
@@ -588,21 +598,31 @@
     /// Worth for each ms of work, if the request starts at this time.
     fn score(&self, entry: &Entry, start_ms: f64) -> f64 {
         let class = &self.set.classes[entry.request.class];
-        let work = self.work_ms(&entry.request);
-        let (own_calls, call_line) = self.call_wait_ms(entry);
-        let end = start_ms + work / self.core_share + own_calls + call_line;
-        let hopeful_end = end - (1.0 - HOPEFUL_PART) * work / self.core_share;
-        let in_time = if end <= entry.aim_ms {
-            let left = (entry.aim_ms - entry.arrived_ms - work) / class.deadline_ms.max(1.0);
-            let stale = if entry.request.retry { self.retried * (1.0 - left).max(0.0) } else { 0.0 };
-            1.0 - stale * (1.0 - class.late_worth)
-        } else if hopeful_end <= entry.aim_ms {
-            SHORT_RUN.max(class.late_worth)
-        } else if hopeful_end <= entry.due_ms {
-            class.late_worth
+        // What ran until its call shows its true work, however wrong its hint was.
+        let (work, left_ms) = if entry.state == State::AtCall {
+            (entry.done_ms / self.part_at_call, entry.done_ms * (1.0 / self.part_at_call - 1.0))
         } else {
-            0.0
+            let work = self.work_ms(&entry.request);
+            (work, work)
+        };
+        let run_ms = left_ms / self.core_share;
+        let (own_calls, call_line) = self.call_wait_ms(entry);
+        let in_time = |end: f64| {
+            let hopeful_end = end - (1.0 - HOPEFUL_PART) * run_ms;
+            if end <= entry.aim_ms {
+                let left = (entry.aim_ms - entry.arrived_ms - work) / class.deadline_ms.max(1.0);
+                let stale = if entry.request.retry { self.retried * (1.0 - left).max(0.0) } else { 0.0 };
+                1.0 - stale * (1.0 - class.late_worth)
+            } else if hopeful_end <= entry.aim_ms {
+                SHORT_RUN.max(class.late_worth)
+            } else if hopeful_end <= entry.due_ms {
+                class.late_worth
+            } else {
+                0.0
+            }
         };
+        let without = class.worth_without * in_time(start_ms + run_ms);
+        let in_time = in_time(start_ms + run_ms + own_calls + call_line).max(without);
         let worth = class.worth * if self.set.worth_by_work { work } else { 1.0 };
         worth * self.within_share(entry.request.tenant) * in_time / work
     }
@@ -613,12 +633,19 @@
         if own == 0.0 || entry.state != State::Held {
             return (0.0, 0.0);
         }
-        let first = self.entries.values().filter(|e| e.state != State::Held && e.owed);
-        let line: f64 = first.map(|e| (self.calls_per_run[e.request.class] - e.calls).max(0.0)).sum();
+        // Those that can go on without a call let the others pass.
+        let line = self.calls_to_come(self.set.classes[entry.request.class].worth_without);
         let unearned = ((own + line) * self.call_ms - self.call_credit_ms).max(0.0);
         (own * self.call_ms, unearned / self.call_rate())
     }
 
+    /// Calls that are yet to be made for what was started, of classes that earn no more than this without.
+    fn calls_to_come(&self, worth_without: f64) -> f64 {
+        let first = self.entries.values().filter(|e| e.state != State::Held && e.owed);
+        let first = first.filter(|e| self.set.classes[e.request.class].worth_without <= worth_without);
+        first.map(|e| (self.calls_per_run[e.request.class] - e.calls).max(0.0)).sum()
+    }
+
     /// Worth left to the next of a tenant that was served beyond its allowance, here or as a part of all: a
     /// slow server serves nobody's allowance, and would take everything from the one that floods the fleet.
     fn within_share(&self, tenant: Option<usize>) -> f64 {
@@ -738,7 +765,12 @@
         if outcome == Outcome::Done {
             let calls = &mut self.calls_per_run[entry.request.class];
             *calls += (entry.calls - *calls) * WORK_WEIGHT;
-            self.learn(&entry.request, (share - entry.share_at_start).max(0.1));
+            let took_ms = (share - entry.share_at_start).max(0.1);
+            self.learn(&entry.request, took_ms);
+            if entry.done_ms > 0.0 {
+                let part = (entry.done_ms / took_ms).clamp(PART_LEAST, 1.0);
+                self.part_at_call += (part - self.part_at_call) * WORK_WEIGHT;
+            }
         }
         if effect == Effect::Read && self.keys.contains_key(&id) {
             if outcome == Outcome::Done {
@@ -767,22 +799,23 @@
             // Refusing all that needs a call would otherwise keep alive the slow time that is its reason.
             self.call_ms = low_pass(self.call_ms, 0.0, elapsed / 1000.0, FORGET_S);
         }
-        if now < self.calls_from_ms {
-            return;
-        }
         let at_call = self.entries.iter().filter(|(_, e)| e.state == State::AtCall && e.owed);
-        let mut waiting: Vec<(f64, f64, u32)> =
-            at_call.map(|(id, e)| (self.score(e, now + self.call_ms), e.aim_ms, *id)).collect();
+        let without = |e: &Entry| self.set.classes[e.request.class].worth_without;
+        let gain = |e: &Entry| self.score(e, now + self.call_ms) * (1.0 - without(e));
+        let mut waiting: Vec<(f64, f64, u32, f64)> =
+            at_call.map(|(id, e)| (gain(e), e.aim_ms, *id, without(e))).collect();
         // In the order of their aims: one let in for a call that others then overtake is work for nothing.
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (score, _, id) in waiting {
-            if score <= 0.0 {
-                // No answer can come of it in time: the call would only load what is slow already.
-                self.fail(id, out);
-                continue;
-            }
-            let spoken_for = self.calls_in_hand * self.call_ms;
-            if self.calls_in_hand + 1.0 > self.most_calls() || self.call_credit_ms < spoken_for {
+        let kept_back = self.calls_to_come(0.0);
+        for (score, _, id, without) in waiting {
+            // A call that can be left out leaves call time to those of other runs that can't.
+            let spoken_for = self.calls_in_hand + if without > 0.0 { kept_back } else { 0.0 };
+            let spoken_for = spoken_for * self.call_ms;
+            let may_call = now >= self.calls_from_ms
+                && self.calls_in_hand + 1.0 <= self.most_calls()
+                && self.call_credit_ms >= spoken_for;
+            if score <= 0.0 || !may_call {
+                self.go_without(now, id, score, out);
                 continue;
             }
             self.calls_in_hand += 1.0;
@@ -794,6 +827,24 @@
         }
     }
 
+    /// What waits for a call that is not made now goes on without, as late as it can and be in time, where
+    /// that is worth something. No answer comes of the rest: the call would only load what is slow already.
+    fn go_without(&mut self, now: f64, id: u32, score: f64, out: &mut Vec<Action>) {
+        let share = self.share_now(now);
+        let entry = &self.entries[&id];
+        let may = self.set.classes[entry.request.class].worth_without > 0.0;
+        let soon = now + self.call_ms.max(2.0 * self.period_ms());
+        if may && self.score(entry, now) > 0.0 && (score <= 0.0 || self.score(entry, soon) <= 0.0) {
+            let entry = self.entries.get_mut(&id).expect("just seen");
+            entry.state = State::Running;
+            entry.calls += 1.0;
+            entry.share_at_start += share - entry.stopped_share;
+            out.push(Action::Skip { id });
+        } else if score <= 0.0 {
+            self.fail(id, out);
+        }
+    }
+
     /// Calls that may be in hand. After a failure one at a time feels out whether the dependency is back.
     fn most_calls(&self) -> f64 {
         if self.call_failures >= 1.0 { 1.0 } else { self.set.calls_share.max(1.0) }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,6 +133,7 @@
                 ("class.deadline_ms", class.deadline_ms),
                 ("class.worth", class.worth),
                 ("class.late_worth", class.late_worth),
+                ("class.worth_without", class.worth_without),
                 ("class.aim_stretch", class.aim_stretch),
                 ("class.key_window_ms", class.key_window_ms),
             ]);
@@ -198,6 +199,8 @@
     pub worth: f64,
     /// Part of the worth that an answer after the aim still earns.
     pub late_worth: f64,
+    /// Part of the worth that an answer made without its call still earns; 0: it must not go on without.
+    pub worth_without: f64,
     /// The aim grows by this multiple of the request's own work.
     pub aim_stretch: f64,
     /// How it may be repeated.
@@ -215,6 +218,7 @@
             deadline_ms: 3000.0,
             worth: 1.0,
             late_worth: 0.0,
+            worth_without: 0.0,
             aim_stretch: 0.0,
             effect: Effect::Read,
             key_window_ms: 0.0,
@@ -396,6 +400,11 @@
         /// Give the call up after this time.
         patience_ms: f64,
     },
+    /// Go on without the call that a request waits for.
+    Skip {
+        /// The request.
+        id: u32,
+    },
     /// Keep an entry by which repeats of the request are known.
     Remember {
         /// The request.
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -135,8 +135,8 @@
     EngineDown,
     /// A run is over.
     Done(String, RunEnd),
-    /// A run stands before a call with this body.
-    Need(String, Vec<u8>),
+    /// A run stands before a call, told by the notice of this number, with this body.
+    Need(String, u64, Vec<u8>),
     /// The gauges that were asked for with this tag.
     Stats(u64, Vec<f64>),
     /// The engine did not carry out a command for this request.
@@ -172,11 +172,11 @@
     phase: Phase,
     /// The kept try whose result it asks for.
     repeats: Option<u32>,
-    /// What the call is to carry.
-    need: Vec<u8>,
-    /// The reply of the store to the last call, until a later notice shows that the engine has it, and how
-    /// many times gauges had been asked for when it was written; nothing there if it was not.
-    feed: Option<Vec<u8>>,
+    /// The notice that asked for the call, and what the call is to carry.
+    need: (u64, Vec<u8>),
+    /// What the run goes on with after its last call, until a later notice shows that the engine has it, and
+    /// how many times gauges had been asked for when it was written; nothing there if it was not.
+    feed: Option<Feed>,
     fed: Option<u64>,
     called_ms: f64,
     /// How many times gauges had been asked for when the last command about it was written.
@@ -184,6 +184,25 @@
     halted: bool,
 }
 
+impl Open {
+    /// Writes what the run goes on with; tells whether there is a link that it goes to.
+    fn feed_to(&self, engine: &EngineLink) -> bool {
+        match &self.feed {
+            Some(Feed::Reply(reply)) => engine.feed(&self.rid, reply),
+            Some(Feed::Nothing) => engine.skip(&self.rid, self.need.0),
+            None => false,
+        }
+    }
+}
+
+/// What a run that waits for a call goes on with.
+enum Feed {
+    /// The reply of the store.
+    Reply(Vec<u8>),
+    /// Nothing: the call is left out.
+    Nothing,
+}
+
 type Key = (usize, String);
 
 /// What is known of the try of a key that ran.
@@ -358,11 +377,11 @@
                     self.run_ended(now, id, end);
                 }
             }
-            Input::Need(rid, body) => {
+            Input::Need(rid, notice, body) => {
                 let Some(id) = self.by_rid.get(&rid).copied() else { return };
                 let Some(open) = self.open.get_mut(&id) else { return };
                 open.phase = Phase::AtCall;
-                open.need = body;
+                open.need = (notice, body);
                 open.feed = None;
                 let over = open.caller.is_none();
                 self.tell(now, Event::NeedsCall { id });
@@ -453,7 +472,7 @@
             digest,
             phase: Phase::Held,
             repeats,
-            need: Vec::new(),
+            need: (0, Vec::new()),
             feed: None,
             fed: None,
             called_ms: 0.0,
@@ -531,13 +550,13 @@
     /// Sends again what the engine may not have seen: beginning a run that runs, and stopping one, change
     /// nothing the second time. Nor does a reply to a call whose run has told nothing since: lost with the old
     /// link, it would leave the run waiting until its due time. Probes showed that a run that goes on passes a
-    /// second reply over, and that a later call takes none but its own.
+    /// second reply over, and that a later call takes none but its own. Going on without names its notice.
     fn resend(&mut self) {
         for open in self.open.values_mut() {
             let unread = |asks: u64| asks >= self.acked;
-            if let Some(reply) = open.feed.as_ref().filter(|_| open.fed.is_none_or(unread)) {
+            if open.feed.is_some() && open.fed.is_none_or(unread) {
                 log(format_args!("refeed rid={} doubt={}", open.rid, open.fed.is_some()));
-                self.parts.engine.feed(&open.rid, reply);
+                open.feed_to(&self.parts.engine);
                 open.fed = Some(self.asks);
             } else if unread(open.commanded) && open.halted {
                 self.parts.engine.halt(&open.rid);
@@ -652,12 +671,7 @@
         match (outcome, reply) {
             (Outcome::Done, Some(reply)) => {
                 count(&self.parts.counters.calls_done);
-                open.phase = Phase::Running;
-                // A link that was left a moment ago takes nothing, and the core hears of it behind this.
-                let linked = self.engine_up && self.barrier.is_none();
-                open.fed = (linked && self.parts.engine.feed(&open.rid, &reply)).then_some(self.asks);
-                open.feed = Some(reply);
-                open.commanded = 0;
+                self.go_on(id, Feed::Reply(reply));
             }
             _ => {
                 count(&self.parts.counters.calls_failed);
@@ -667,6 +681,17 @@
         self.tell(now, Event::CallEnded { id, outcome, took_ms });
     }
 
+    /// Lets a run go on behind its call.
+    fn go_on(&mut self, id: u32, feed: Feed) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.phase = Phase::Running;
+        open.commanded = 0;
+        open.feed = Some(feed);
+        // A link that was left a moment ago takes nothing, and the core hears of it behind this.
+        let linked = self.engine_up && self.barrier.is_none();
+        open.fed = (linked && open.feed_to(&self.parts.engine)).then_some(self.asks);
+    }
+
     fn leave(&mut self, now: f64) {
         if self.leave_ms.is_some() {
             return;
@@ -814,7 +839,13 @@
                     open.phase = Phase::Calling;
                     open.called_ms = now;
                     let once = self.parts.site.settings.classes[open.class].effect != Effect::Read;
-                    self.parts.store.call(&open.rid, patience_ms, &open.need, once);
+                    self.parts.store.call(&open.rid, patience_ms, &open.need.1, once);
+                }
+            }
+            Action::Skip { id } => {
+                if self.open.get(&id).is_some_and(|open| open.phase == Phase::AtCall) {
+                    count(&self.parts.counters.calls_left_out);
+                    self.go_on(id, Feed::Nothing);
                 }
             }
             Action::Remember { id, for_ms } => self.remember(now, id, for_ms),
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -192,6 +192,11 @@
         self.command(|out| with_body(out, &format!("FEED {rid}"), reply))
     }
 
+    /// Lets a run go on without the call that this notice asked for; tells whether there is a link.
+    pub fn skip(&self, rid: &str, notice: u64) -> bool {
+        self.command(|out| out.extend_from_slice(format!("SKIP {rid} {notice}\r\n").as_bytes()))
+    }
+
     /// Asks for the gauges.
     pub fn stat(&self, tag: u64) {
         self.command(|out| out.extend_from_slice(format!("STAT {tag}\r\n").as_bytes()));
@@ -323,7 +328,9 @@
             };
             (Some(number(n)?), Some(Input::Done((*id).to_owned(), end)))
         }
-        ["NEED", n, id, _length] => (Some(number(n)?), Some(Input::Need((*id).to_owned(), line.body))),
+        ["NEED", n, id, _length] => {
+            (Some(number(n)?), Some(Input::Need((*id).to_owned(), number(n)?, line.body)))
+        }
         ["STATS", tag, gauges @ ..] => {
             let gauges = gauges.iter().map(|g| g.parse::<f64>().ok().filter(|v| v.is_finite()));
             let gauges = gauges.collect::<Option<Vec<_>>>().ok_or(LineError::Malformed)?;
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -79,6 +79,8 @@
     calls_done,
     /// Calls that ended otherwise.
     calls_failed,
+    /// Runs that went on without their call.
+    calls_left_out,
     /// Store connections made.
     store_links,
     /// Reports sent to the membership service.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -87,6 +87,7 @@
         let limits = Section::of(info, "ceilings")?;
         let base = Settings::default();
         let flags = own.list("classCalls")?;
+        let without = own.list("worthWithout")?;
         let mut class_names = BTreeMap::new();
         let mut classes = Vec::new();
         for (i, entry) in top.list("services")?.iter().enumerate() {
@@ -98,6 +99,7 @@
                 deadline_ms: c.num("deadlineMs", plain.deadline_ms)?,
                 worth: c.num("worth", plain.worth)?,
                 late_worth: c.num("lateWorth", plain.late_worth)?,
+                worth_without: without.get(i).and_then(Value::as_f64).unwrap_or(0.0),
                 aim_stretch: c.num("aimStretch", plain.aim_stretch)?,
                 effect: match c.text("effect")? {
                     "idempotency_key" => Effect::Keyed,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -98,6 +98,72 @@
     assert_eq!(calls(&bench.pass(3000.0, 0.1, 0.0)), 1, "a read may call again");
 }
 
+/// The actions of a run that needs a call while none can be made, until it has an answer or goes on without.
+fn with_no_call(worth_without: f64) -> (Vec<Action>, f64) {
+    let mut set = calling();
+    set.classes[0].worth_without = worth_without;
+    let mut bench = Bench::new(set);
+    bench.arrive(request(1, 0));
+    bench.pass(60.0, 0.5, 1.0);
+    let mut out = bench.tell(Event::NeedsCall { id: 1 });
+    while bench.now < 1500.0 && !out.iter().any(|a| matches!(a, Action::Skip { .. } | Action::Fail { .. })) {
+        if calls(&out) > 0 {
+            out = bench.tell(Event::CallEnded { id: 1, outcome: Outcome::Unreachable, took_ms: 1.0 });
+        } else {
+            out = bench.pass(5.0, 0.5, 0.0);
+        }
+    }
+    (out, bench.now)
+}
+
+#[test]
+fn without_its_call_a_read_goes_on_as_late_as_it_can() {
+    let (out, at) = with_no_call(0.3);
+    assert!(out.contains(&Action::Skip { id: 1 }), "its caller would get nothing: {out:?}");
+    assert!((600.0..1000.0).contains(&at), "the dependency may be back before, and its aim is at 1000: {at}");
+    let (out, _) = with_no_call(0.0);
+    assert!(failed(&out, 1), "an answer without the call is worth nothing: {out:?}");
+}
+
+#[test]
+fn what_can_go_on_without_a_call_leaves_it_to_what_cannot() {
+    let mut set = calling();
+    set.calls_share = 0.4;
+    set.classes[0].worth_without = 0.3;
+    let mut bench = Bench::new(set);
+    for id in 1..=8 {
+        bench.arrive(request(id, 0));
+        bench.tell(Event::NeedsCall { id });
+    }
+    bench.pass(50.0, 0.5, 0.0);
+    bench.tell(Event::CallEnded { id: 1, outcome: Outcome::Done, took_ms: 50.0 });
+    bench.tell(Event::Finished { id: 1, outcome: Outcome::Done });
+    // A seventh of one call is earned: the others would use up all there is within its aim.
+    assert!(started(&bench.arrive(request(9, 1)), 9), "seven that can do without stand before it");
+    bench.pass(400.0, 0.5, 0.0);
+    assert_eq!(calls(&bench.log), 1, "the next is kept for it");
+    assert_eq!(calls(&bench.tell(Event::NeedsCall { id: 9 })), 1);
+}
+
+#[test]
+fn what_ran_until_the_call_tells_what_is_left() {
+    let mut bench = Bench::new(calling());
+    let mut run = |id: u32, hint: f64, ms: f64| {
+        bench.arrive(Request { hint_ms: Some(hint), ..request(id, 0) });
+        bench.pass(ms * 0.6, 0.5, 1.0);
+        let out = bench.tell(Event::NeedsCall { id });
+        bench.tell(Event::CallEnded { id, outcome: Outcome::Done, took_ms: 5.0 });
+        bench.pass(ms * 0.4, 0.5, 1.0);
+        bench.tell(Event::Finished { id, outcome: Outcome::Done });
+        out
+    };
+    for id in 1..=40 {
+        assert_eq!(calls(&run(id, 50.0, 50.0)), 1);
+    }
+    assert_eq!(calls(&run(41, 5000.0, 100.0)), 1, "most of it is done, and it fits whatever its hint says");
+    assert!(failed(&run(42, 50.0, 1500.0), 42), "two thirds of what ran are left: no call can help it");
+}
+
 #[test]
 fn one_call_cut_off_stops_no_other() {
     let mut bench = Bench::new(calling());
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -42,6 +42,7 @@
     due: f64,
     arrived: f64,
     effect: bool,
+    without: bool,
     starts: u32,
     answers: u32,
     gone: bool,
@@ -90,6 +91,11 @@
                 Action::Forget { id } => {
                     self.kept.remove(&id);
                 }
+                Action::Skip { id } => {
+                    let entry = self.known.get_mut(&id).expect("known");
+                    assert!(entry.at_call && entry.without, "{id} does not stop, or must not go on without");
+                    entry.at_call = false;
+                }
                 Action::Call { id, .. } => {
                     let entry = self.known.get_mut(&id).expect("known");
                     assert!(entry.at_call, "no call is awaited");
@@ -119,7 +125,7 @@
 fn play(steps: &[Step]) {
     let mut set = Settings { memory_kb: MEMORY_KB, ..settings() };
     set.calls_share = 3.0;
-    set.classes.push(Class { calls: true, ..Class::default() });
+    set.classes.push(Class { calls: true, worth_without: 0.3, ..Class::default() });
     let mut bench = Bench::new(set);
     let mut world = World::default();
     let mut next = 0;
@@ -129,7 +135,14 @@
                 next += 1;
                 let original = world.pick(next as usize, |e| repeat && class == 1 && e.effect);
                 let (due, arrived) = (bench.now + wait, bench.now - queued);
-                let entry = Known { due, arrived, effect: class == 1, original, ..Known::default() };
+                let entry = Known {
+                    due,
+                    arrived,
+                    effect: class == 1,
+                    without: class == 2,
+                    original,
+                    ..Known::default()
+                };
                 world.known.insert(next, entry);
                 let new = Request {
                     due_ms: Some(due),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -860,6 +860,27 @@
     assert!(call.starts_with("CALL 00000000000000a1 "), "{call}");
 }
 
+/// A run goes on without the call that cannot be made; the word for it may be lost with the link, and names its
+/// notice, so that it can be sent again.
+#[test]
+fn a_call_left_out_is_told_again_over_a_new_engine_link() {
+    let down = scenario::down();
+    let mut world = World::start_with(forgetful_engine(false), down, 0, 192.0);
+    world.run(UP);
+    world.run(
+        "rpc send 1 brief rid=a1|paper
+         engine wait RUN 00000000000000a1 brief|paper
+         engine send NEED 1 00000000000000a1|which
+         engine wait SKIP 00000000000000a1 1
+         engine close
+         engine wait ATTACH 1
+         engine send HELLO hot 6000
+         engine wait SKIP 00000000000000a1 1
+         engine send DONE 2 00000000000000a1 complete 12|report
+         rpc expect [1 1 nil [report *",
+    );
+}
+
 /// A log that nobody reads fills its pipe after some hundred lines; the program goes on without it.
 #[test]
 fn a_log_that_is_not_read_stalls_nobody() {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -414,7 +414,7 @@
  "contract":{"answerSlackMs":100,"drainGraceMs":2000,"fallMultiple":8,"tipAfterMs":3000},
  "ceilings":{"retryAfter":true,"maxRetryAfterMs":1000},
  "specifics":{"cores":4,"heapKb":30000,"runFactor":4,"keyKb":5,"preemption":"drop","signal":"weight",
- "registryFollows":true,"callerIdleMs":IDLE,"classCalls":[true,false,true],"callsOut":8,"callsOverMs":5000,"lingerMs":200,
+ "registryFollows":true,"callerIdleMs":IDLE,"classCalls":[true,false,true],"worthWithout":[0,0.3,0],"callsOut":8,"callsOverMs":5000,"lingerMs":200,
  "gauges":["cpu_busy","runnable","mem_used","sockets"]}}"#;
 
 static FOLDERS: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
