Keep lost replies of the store from shutting out the good calls

Checked with a probe of what a call waits for: the call credit fell from 3360 to 17 ms; 8 of 13 calls in hand were lost ones; the believed call time rose to 110 ms. Ruled out: the pause after failures (one of 50 ms), the store itself (the other comparers saw 2 to 8 ms at the same time), connections. At fault: src/brain.rs, call_ended() learned up to twice the believed time from each lost reply and booked 200 ms of lingering after a wait of 250 ms; make_calls() waited 250 ms for reads whose calls take 5 ms. Now: a lone time-out teaches no call time; lingering is booked only as far as the wait was not many times the usual; a read gives its call up after 100 ms at the least, as it may call again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,6 +73,9 @@
 /// others, and what needs calls would pile up behind it. Over a slow dependency 8 times loses.
 const CALL_PATIENCE: f64 = 20.0;
 const CALL_PATIENCE_LEAST_MS: f64 = 250.0;
+/// The same where the call may be made again, ms, and times the time of one that hardly any takes, 1.
+const CALL_AGAIN_LEAST_MS: f64 = 100.0;
+const CALL_USUAL_MOST: f64 = 4.0;
 /// What a call cut off or without reply tells of the dependency, beside one that was turned away, 1: one
 /// alone may be a lost reply, two in a row are none.
 const CALL_CUT_OFF: f64 = 0.5;
@@ -822,7 +825,9 @@
             let entry = self.entries.get_mut(&id).expect("just listed");
             entry.state = State::Calling;
             entry.calls += 1.0;
-            let patience_ms = (self.call_ms * CALL_PATIENCE).max(CALL_PATIENCE_LEAST_MS);
+            let again = self.set.classes[entry.request.class].effect == Effect::Read;
+            let least_ms = if again { CALL_AGAIN_LEAST_MS } else { CALL_PATIENCE_LEAST_MS };
+            let patience_ms = (self.call_ms * CALL_PATIENCE).max(least_ms);
             out.push(Action::Call { id, patience_ms: patience_ms.min(entry.due_ms - now).max(1.0) });
         }
     }
@@ -867,10 +872,14 @@
                 self.calls_from_ms = now + pause.min(CALL_PAUSE_MOST_MS);
             }
         }
+        let lone = self.call_failures < 1.0;
         if outcome == Outcome::TimedOut {
-            self.abandoned.push(now + self.set.call_linger_ms);
+            // What was waited for beyond its time has mostly ended below, and its reply was lost.
+            let beyond = if lone { (took_ms - CALL_USUAL_MOST * self.call_ms).max(0.0) } else { 0.0 };
+            self.abandoned.push(now + (self.set.call_linger_ms - beyond).max(0.0));
         }
-        if outcome == Outcome::Done || took_ms > self.call_ms {
+        // Nor does it tell how slow calls are: learned from each, lost replies would shut the good calls out.
+        if outcome == Outcome::Done || took_ms > self.call_ms && !lone {
             // How long one was waited for that never ended is this server's choice, and no call's time.
             let time_ms = if outcome == Outcome::Done { took_ms } else { took_ms.min(2.0 * self.call_ms) };
             self.call_ms += (time_ms - self.call_ms) * CALL_WEIGHT;
