Charge no earned call time for calls that are far overdue

Checked with a probe of the module's state: call credit fell from 2500 to 4 within 2 s, then 80 to 160 requests stood at their calls and filled the memory. Ruled out: the cores, slow calls, failures in a row (none). At fault: src/brain.rs, make_calls() charged a call in hand until it was given up, though one that takes many times its time has ended below and only its reply is lost. Now: past 10 times the usual time (40 ms at least) it is no longer charged while calls don't fail in a row. It still fills the share itself, so the mean in hand stays under what the settings allow. Test: seen to fail without it, and without the share as the bound.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -76,6 +76,9 @@
 /// The same where the call may be made again, ms, and times the time of one that hardly any takes, 1.
 const CALL_AGAIN_LEAST_MS: f64 = 100.0;
 const CALL_USUAL_MOST: f64 = 4.0;
+/// Times its usual time after which a call in hand is no longer charged, 1, and at the least, ms.
+const CALL_OVERDUE: f64 = 10.0;
+const CALL_OVERDUE_LEAST_MS: f64 = 40.0;
 /// What a call cut off or without reply tells of the dependency, beside one that was turned away, 1: one
 /// alone may be a lost reply, two in a row are none.
 const CALL_CUT_OFF: f64 = 0.5;
@@ -213,6 +216,7 @@
     stopped_share: f64,
     /// Core time received when it last stopped before a call, ms.
     done_ms: f64,
+    called_ms: f64,
 }
 
 /// Decides for one server. Feed it events in order and carry out the actions.
@@ -258,6 +262,7 @@
     calls_from_ms: f64,
     call_credit_ms: f64,
     calls_in_hand: f64,
+    calls_charged: f64,
     calls_paid_ms: f64,
     // what callers hear
     idle_kept_ms: f64,
@@ -316,6 +321,7 @@
             calls_from_ms: f64::NEG_INFINITY,
             call_credit_ms: 0.0,
             calls_in_hand: 0.0,
+            calls_charged: 0.0,
             calls_paid_ms: 0.0,
             idle_kept_ms: settings.idle_ms,
             healthy: true,
@@ -458,6 +464,7 @@
             calls: 0.0,
             stopped_share: 0.0,
             done_ms: 0.0,
+            called_ms: 0.0,
         };
         self.entries.insert(id, entry);
     }
@@ -792,12 +799,18 @@
         // is earned at a part of the share and spent by each call in hand, or a large fleet that keeps to one
         // call a server holds many times what the dependency survives.
         let elapsed = now - self.calls_paid_ms;
-        let earned = (self.call_rate() - self.calls_in_hand) * elapsed;
+        let earned = (self.call_rate() - self.calls_charged) * elapsed;
         let most = CALLS_SAVED * self.set.calls_over_ms * self.call_rate();
         self.call_credit_ms = (self.call_credit_ms + earned).min(most);
         self.calls_paid_ms = now;
         self.abandoned.retain(|until| *until > now);
         self.calls_in_hand = self.count(State::Calling) + self.abandoned.len() as f64;
+        // A call far beyond its time has ended below, and its reply is lost: it fills the share, which holds
+        // whatever it is, but earns no less for the good ones. Where calls fail in a row nothing is known.
+        let overdue_ms = (CALL_OVERDUE * self.call_ms).max(CALL_OVERDUE_LEAST_MS);
+        let calling = self.entries.values().filter(|e| e.state == State::Calling && self.call_failures < 1.0);
+        let overdue = calling.filter(|e| now - e.called_ms > overdue_ms).count() as f64;
+        self.calls_charged = self.calls_in_hand - overdue;
         if self.calls_in_hand == 0.0 {
             // Refusing all that needs a call would otherwise keep alive the slow time that is its reason.
             self.call_ms = low_pass(self.call_ms, 0.0, elapsed / 1000.0, FORGET_S);
@@ -812,7 +825,7 @@
         let kept_back = self.calls_to_come(0.0);
         for (score, _, id, without) in waiting {
             // A call that can be left out leaves call time to those of other runs that can't.
-            let spoken_for = self.calls_in_hand + if without > 0.0 { kept_back } else { 0.0 };
+            let spoken_for = self.calls_charged + if without > 0.0 { kept_back } else { 0.0 };
             let spoken_for = spoken_for * self.call_ms;
             let may_call = now >= self.calls_from_ms
                 && self.calls_in_hand + 1.0 <= self.most_calls()
@@ -822,9 +835,11 @@
                 continue;
             }
             self.calls_in_hand += 1.0;
+            self.calls_charged += 1.0;
             let entry = self.entries.get_mut(&id).expect("just listed");
             entry.state = State::Calling;
             entry.calls += 1.0;
+            entry.called_ms = now;
             let again = self.set.classes[entry.request.class].effect == Effect::Read;
             let least_ms = if again { CALL_AGAIN_LEAST_MS } else { CALL_PATIENCE_LEAST_MS };
             let patience_ms = (self.call_ms * CALL_PATIENCE).max(least_ms);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -175,9 +175,9 @@
     assert_eq!(calls(&out), 0, "two in a row are no chance");
 }
 
-/// A server with one call in hand at most, after many quick calls and a while of saving.
-fn used_to_calls_of(ms: f64) -> Bench {
-    let mut bench = Bench::new(Settings { calls_share: 1.9, ..calling() });
+/// A server with this share of calls in hand, after many quick calls and a while of saving.
+fn used_to_calls_of(ms: f64, share: f64) -> Bench {
+    let mut bench = Bench::new(Settings { calls_share: share, ..calling() });
     for id in 1..=60 {
         bench.arrive(request(id, 0));
         bench.tell(Event::NeedsCall { id });
@@ -201,7 +201,7 @@
 
 #[test]
 fn a_lost_reply_shuts_no_good_call_out() {
-    let mut bench = used_to_calls_of(10.0);
+    let mut bench = used_to_calls_of(10.0, 1.9);
     let before = patience(&mut bench, 101, 0).expect("call time was saved");
     bench.pass(before, 0.5, 0.0);
     bench.tell(Event::CallEnded { id: 101, outcome: Outcome::TimedOut, took_ms: before });
@@ -211,10 +211,19 @@
     assert!(after < before * 1.05, "no call took longer than before: {before} {after}");
 }
 
+#[test]
+fn a_call_far_overdue_uses_up_no_more_call_time() {
+    let mut bench = used_to_calls_of(10.0, 2.0);
+    patience(&mut bench, 101, 1).expect("call time was saved");
+    bench.pass(3000.0, 0.5, 0.0);
+    assert!(patience(&mut bench, 102, 1).is_some(), "one lost reply would hold up all calls");
+    assert!(patience(&mut bench, 103, 1).is_none(), "the share itself holds whatever is lost");
+}
+
 #[test]
 fn a_call_that_may_be_made_again_is_given_up_sooner() {
-    let read = patience(&mut used_to_calls_of(1.0), 101, 0).expect("call time was saved");
-    let write = patience(&mut used_to_calls_of(1.0), 101, 1).expect("call time was saved");
+    let read = patience(&mut used_to_calls_of(1.0, 1.9), 101, 0).expect("call time was saved");
+    let write = patience(&mut used_to_calls_of(1.0, 1.9), 101, 1).expect("call time was saved");
     assert!(read < write && read > 50.0, "a write fails with its call: {read} {write}");
 }
 
