Go on taking work for most of the grace of a drain, as callers hear of the next late

Checked with a probe of the module's state: the one that leaves lost its traffic within a second of the notice and stood idle (busy 0.1) for its whole grace of 2.5 s; its successor was ready but idle for up to 5 s, until the routers' list showed it; the others were at 1.0. Ruled out: slow starts, calls, the bad clients. At fault: src/node/core.rs, leave() sent goaway to every connection at once; src/brain.rs, advise() and refuse() sent all away from the notice on. Now: OUT and the health answer change at once as before; goaway, the free value 0 and the wish to stay away follow after 0.8 and 0.7 of the grace (sooner where the kill is near). Requests after the grace are never run, as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -155,6 +155,8 @@
 const FEW_CALLERS: f64 = 8.0;
 /// Part of the slack after the due time that a run may still use, 1: the rest is for batches that come late.
 const SLACK_PART: f64 = 0.3;
+/// Part of the grace of a drain in which work is asked for as before, 1.
+const WORK_PART: f64 = 0.7;
 /// Answers at a drain go out this long before the kill, ms.
 const DRAIN_MARGIN_MS: f64 = 150.0;
 
@@ -609,12 +611,9 @@
     fn score(&self, entry: &Entry, start_ms: f64) -> f64 {
         let class = &self.set.classes[entry.request.class];
         // What ran until its call shows its true work, however wrong its hint was.
-        let (work, left_ms) = if entry.state == State::AtCall {
-            (entry.done_ms / self.part_at_call, entry.done_ms * (1.0 / self.part_at_call - 1.0))
-        } else {
-            let work = self.work_ms(&entry.request);
-            (work, work)
-        };
+        let (at_call, part) = (entry.state == State::AtCall, self.part_at_call);
+        let work = if at_call { entry.done_ms / part } else { self.work_ms(&entry.request) };
+        let left_ms = if at_call { work * (1.0 - part) } else { work };
         let run_ms = left_ms / self.core_share;
         let (own_calls, call_line) = self.call_wait_ms(entry);
         let in_time = |end: f64| {
@@ -928,7 +927,7 @@
             out.push(Action::Forget { id });
         }
         let jammed = self.busy_slow > JAM_BUSY && self.intake_ms - self.least_intake_ms > INTAKE_JAM_MS;
-        let away = self.hung || self.leave.is_some();
+        let away = self.hung || self.is_going();
         let stay_away_ms = if away { f64::INFINITY } else { self.intake_ms };
         // One given up after a wait is told to come back when what is held has had its turn.
         let back_ms = if given_up { self.hold_ms().max(self.period_ms()) } else { 0.0 };
@@ -1039,6 +1038,12 @@
         }
     }
 
+    /// Leaves, and is about to take no more work: others hear of the next server seconds late.
+    fn is_going(&self) -> bool {
+        let work_ms = WORK_PART * self.set.rules.drain_grace_ms;
+        self.leave.is_some_and(|(since, kill)| self.sampled_ms >= (since + work_ms).min((since + kill) / 2.0))
+    }
+
     /// Time in which all that is held now could run, ms.
     fn hold_ms(&self) -> f64 {
         let held = self.entries.values().filter(|e| e.state == State::Held);
@@ -1054,7 +1059,7 @@
         self.close_idle(dt, out);
         let delay = wait + (self.intake_ms - self.least_intake_ms).max(0.0);
         let traffic = (-delay / ADVICE_DELAY_MS).exp().max(ADVICE_FLOOR);
-        let traffic = if self.leave.is_some() || self.hung { 0.0 } else { traffic };
+        let traffic = if self.is_going() || self.hung { 0.0 } else { traffic };
         let value = match self.set.advice {
             AdviceKind::Silent => return,
             AdviceKind::Weight => traffic,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -25,6 +25,9 @@
 const WATCH_MS: f64 = 50.0;
 /// Part of the answer slack after which the core answers what the decisions have not.
 const OVERDUE_PART: f64 = 0.8;
+/// Part of the grace, and of the time to the kill at most, in which one that leaves goes on taking work.
+const WORK_PART: f64 = 0.8;
+const WORK_STOP_PART: f64 = 0.6;
 /// Before the kill, ms: the core answers all that is left, and the process ends.
 const LAST_ANSWERS_MS: f64 = 120.0;
 const EXIT_MS: f64 = 60.0;
@@ -349,7 +352,7 @@
     pub fn take(&mut self, now: f64, input: Input) {
         match input {
             Input::Opened(caller) => {
-                if self.grace_is_over(now) {
+                if self.work_is_over(now) {
                     caller.leave();
                 }
                 self.callers.insert(caller.id(), caller);
@@ -702,10 +705,17 @@
         self.parts.status.healthy.set(false);
         self.parts.status.listed.set(Some(false));
         self.parts.status.report.wake();
-        self.callers.values().for_each(|caller| caller.leave());
         self.tell(now, Event::Leave { kill_ms: now + self.parts.stop_ms });
     }
 
+    /// Whether callers are asked to go. They hear of the next comparer seconds late: sent away at once, they
+    /// would crowd the others while this one stands idle until its grace ends.
+    fn work_is_over(&self, now: f64) -> bool {
+        let grace = self.parts.site.settings.rules.drain_grace_ms;
+        let work_ms = (grace * WORK_PART).min(self.parts.stop_ms * WORK_STOP_PART);
+        self.leave_ms.is_some_and(|since| now >= since + work_ms)
+    }
+
     fn grace_is_over(&self, now: f64) -> bool {
         let grace = self.parts.site.settings.rules.drain_grace_ms;
         self.leave_ms.is_some_and(|since| now >= since + grace)
@@ -772,9 +782,12 @@
                 _ => {}
             }
         }
-        if self.grace_is_over(now) && self.parts.status.shut.open() {
+        if self.work_is_over(now) {
             self.callers.values().for_each(|caller| caller.leave());
         }
+        if self.grace_is_over(now) {
+            self.parts.status.shut.open();
+        }
         if let Some(after_ms) = self.idle_ms {
             self.callers.values().for_each(|caller| caller.leave_if_idle(now - after_ms));
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -227,6 +227,16 @@
     assert!(read < write && read > 50.0, "a write fails with its call: {read} {write}");
 }
 
+#[test]
+fn one_that_leaves_asks_for_work_while_others_still_send_it() {
+    let mut bench = Bench::new(settings());
+    bench.pass(1000.0, 0.2, 0.0);
+    bench.tell(Event::Leave { kill_ms: bench.now + 3000.0 });
+    let none = |out: &[Action]| out.contains(&Action::Advise { value: 0.0 });
+    assert!(!none(&bench.pass(300.0, 0.2, 0.0)), "all would crowd the others, and its grace be spent idle");
+    assert!(none(&bench.pass(100.0, 0.2, 0.0)), "what comes after the grace must not run");
+}
+
 #[test]
 fn a_keyed_call_that_may_have_run_is_not_repeated() {
     let mut bench = Bench::new(calling());
