Learn the least wait before reading from served requests, not from bad clients'

At fault: src/brain.rs, arrived() took the least wait from all that arrives. Bad clients' times are of this instant, so that what routers' requests always wait looked like a jam, and refuse() asked them to give up. Now: the least is taken from served requests, which bad clients never are; it grows per arrival as before. Test: fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,8 +59,7 @@
 /// Time of a call before any was seen, ms, and weight of a new observation, 1.
 const FIRST_CALL_MS: f64 = 50.0;
 const CALL_WEIGHT: f64 = 0.2;
-/// Part of its work that a run has done when it stops before a call, 1: before any was seen, and the least
-/// that one shows.
+/// Part of its work done when a run stops before a call, 1: before any was seen, and the least believed.
 const FIRST_PART_AT_CALL: f64 = 0.5;
 const PART_LEAST: f64 = 0.1;
 /// Wait before a call that was proved not to have run is made again, ms: doubled with every failure in
@@ -448,7 +447,7 @@
         self.turned_share -= self.turned_share / TURNED_OVER;
         self.retried += (f64::from(u8::from(request.retry)) - self.retried) / TURNED_OVER;
         self.intake_ms += (queued - self.intake_ms) * WORK_WEIGHT * 2.0;
-        self.least_intake_ms = queued.min(self.least_intake_ms * INTAKE_DRIFT);
+        self.least_intake_ms *= INTAKE_DRIFT;
         let usable = self.work_ms(&request) / self.core_share < due_ms - now;
         let dead = if queued > due_ms - now && !usable { 1.0 } else { 0.0 };
         self.dead += (dead - self.dead) * WORK_WEIGHT;
@@ -642,7 +641,6 @@
         if own == 0.0 || entry.state != State::Held {
             return (0.0, 0.0);
         }
-        // Those that can go on without a call let the others pass.
         let line = self.calls_to_come(self.set.classes[entry.request.class].worth_without);
         let unearned = ((own + line) * self.call_ms - self.call_credit_ms).max(0.0);
         (own * self.call_ms, unearned / self.call_rate())
@@ -775,6 +773,8 @@
             let calls = &mut self.calls_per_run[entry.request.class];
             *calls += (entry.calls - *calls) * WORK_WEIGHT;
             let took_ms = (share - entry.share_at_start).max(0.1);
+            // Learned from all that arrives, bad clients would feign reading without any wait, and so a jam.
+            self.least_intake_ms = self.least_intake_ms.min(entry.request.queued_ms.max(0.0));
             self.learn(&entry.request, took_ms);
             if entry.done_ms > 0.0 {
                 let part = (entry.done_ms / took_ms).clamp(PART_LEAST, 1.0);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -237,6 +237,30 @@
     assert!(none(&bench.pass(100.0, 0.2, 0.0)), "what comes after the grace must not run");
 }
 
+#[test]
+fn what_bad_clients_send_does_not_feign_a_jam() {
+    let mut bench = Bench::new(settings());
+    for id in 0..400 {
+        bench.arrive(Request { queued_ms: 80.0, ..request(10 * id + 1, 0) });
+        let id = 10 * id + 2;
+        bench.batch(vec![Event::Arrived(request(id, 0)), Event::CallerGone { id }]);
+        bench.pass(10.0, 1.0, 2.0);
+        let mut started = bench.log.iter().filter_map(|a| match a {
+            Action::Start { id } => Some(*id),
+            _ => None,
+        });
+        if let Some(id) = started.nth(id as usize / 20) {
+            bench.tell(Event::Finished { id, outcome: Outcome::Done });
+        }
+    }
+    let refused = |last: bool| {
+        let meant = |a: &&Action| matches!(a, Action::Refuse { last: l, .. } if *l == last);
+        bench.log.iter().filter(meant).count()
+    };
+    assert!(refused(false) > 50, "the cores are full");
+    assert_eq!(refused(true), 0, "all had waited alike, and others may well have room");
+}
+
 #[test]
 fn a_keyed_call_that_may_have_run_is_not_repeated() {
     let mut bench = Bench::new(calling());
