Make a workspace, cut the circle of core, links and observe, split the core's tables out

Need: the program is to grow by subsystems that live in crates of their own, and the core is to be fed by more than sockets. core.rs held 1,000 lines and stood in an import circle with links.rs and observe.rs.

Change: a Cargo workspace; the clock is a crate, as every subsystem needs it. The core's ports (what reaches it, and the traits through which it reaches callers, engine and store) have a file of their own, so that core and links no longer import each other. Behaviour is unchanged: what moved was moved as it stood, but for the double look-ups that the tables save.

--- a/src/node/clock.rs
+++ b/crates/pinepoint-clock/src/lib.rs
@@ -1,5 +1,15 @@
-//! The one clock. It owns the notion of "now" for the whole node: Unix milliseconds as `f64`, never going
-//! back, settable in tests. It must never be bypassed: nothing else in the node reads a system clock.
+//! The one clock. It owns the notion of "now" for every crate of the workspace: Unix milliseconds as `f64`,
+//! never going back, settable in tests. It must never be bypassed: nothing else reads a system clock.
+//!
+//! ```
+//! let clock = pinepoint_clock::Clock::fixed(1_000.0);
+//! clock.set(2_500.0);
+//! assert_eq!(clock.now(), 2_500.0);
+//! clock.set(1.0);
+//! assert_eq!(clock.now(), 2_500.0, "it never goes back");
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -15,11 +15,15 @@
 use futures_lite::StreamExt;
 use serde::Deserialize;
 
-use pinepoint::node::clock::Clock;
-use pinepoint::node::core::{Core, Input, Parts};
-use pinepoint::node::observe::{Counters, Target, log};
-use pinepoint::node::{self, Front, Room, Status, ajp, links, observe, rpc};
+use pinepoint::node::core::{Core, Parts};
+use pinepoint::node::counters::{Counters, log};
+use pinepoint::node::listen::{self, Front, Room};
+use pinepoint::node::observe::{self, Target};
+use pinepoint::node::port::Input;
+use pinepoint::node::status::Status;
+use pinepoint::node::{ajp, links, rpc};
 use pinepoint::settings::Site;
+use pinepoint_clock::Clock;
 
 /// Descriptors kept for links, listeners, signals and the like: a part of all, as a divisor, between two bounds.
 /// The program holds about a dozen beside its connections, and one for each call in hand, of which the share of a
@@ -152,7 +156,7 @@
     }
 }
 
-fn listen(what: &'static str, address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
+fn bind(what: &'static str, address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
     let bound = Async::<TcpListener>::bind(address).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
     bound.map(|(address, listener)| (listener, address)).map_err(|e| StartError::System(what, e))
 }
@@ -190,7 +194,7 @@
     let engine = Rc::new(links::EngineLink::default());
     let parts = (peers.clone(), queue.clone(), clock.clone(), counters.clone(), executor.clone());
     let store = Rc::new(links::StoreLink::new(parts.0, parts.1, parts.2, parts.3, parts.4));
-    let (listener, address) = listen("listen", config.listen)?;
+    let (listener, address) = bind("listen", config.listen)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
         .map_err(|e| StartError::System("signals", e))?;
     let core = Core::new(Parts {
@@ -213,13 +217,15 @@
         room: Room::new(connections, config.limits.memory_mb),
     });
     if let Some(Ajp { listen, secret, mem_kb }) = edge.ajp {
-        let (listener, address) = self::listen("ajp", listen)?;
+        let (listener, address) = bind("ajp", listen)?;
         log(format_args!("ajp listen={address}"));
         let options = Rc::new(ajp::Options { secret, mem_kb, seed });
         let own = front.clone();
         let serve = move |stream, guest| ajp::serve(stream, guest, own.clone(), options.clone());
         let most = connections / AJP_PART;
-        executor.spawn(node::listen("ajp", listener, most, front.clone(), executor.clone(), serve)).detach();
+        executor
+            .spawn(listen::listen("ajp", listener, most, front.clone(), executor.clone(), serve))
+            .detach();
     }
     let on_signal = {
         let (queue, counters, peers, status) =
@@ -258,7 +264,7 @@
     }
     let own = front.clone();
     let serve = move |stream, guest| rpc::serve(stream, guest, own.clone());
-    executor.spawn(node::listen("rpc", listener, connections, front, executor.clone(), serve)).detach();
+    executor.spawn(listen::listen("rpc", listener, connections, front, executor.clone(), serve)).detach();
     log(format_args!("started name={name} listen={address}"));
     async_io::block_on(executor.run(core.run(inputs)));
     counters.print();
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -9,10 +9,11 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, future};
 
-use super::core::{Arrival, Caller, Input, Reply};
-use super::observe::count;
+use super::counters::count;
+use super::listen::{Front, Guest, MESSAGE_MS, Writer};
+use super::port::{Arrival, Caller, Input, Reply};
 use super::rpc::{BODY_MOST, EST_MOST, MEM_BELOW_KB};
-use super::{Front, Guest, MESSAGE_MS, Signal, Writer};
+use super::sync::Signal;
 use crate::Effect;
 use crate::settings::Site;
 
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -3,18 +3,18 @@
 //! queue of each caller. It must never know a wire, wait for a socket, or decide what the module decides:
 //! it only makes sure that each request read gets one answer and that no key runs twice.
 
-use std::collections::hash_map::RandomState;
-use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::hash::BuildHasher;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use async_channel::Receiver;
 use futures_lite::future;
+use pinepoint_clock::Clock;
 
-use super::Status;
-use super::clock::Clock;
-use super::links::{EngineLink, StoreLink};
-use super::observe::{Counters, count, log};
+use super::counters::{Counters, count, log};
+use super::keys::{Joined, Key, Keys, Start, TryResult};
+use super::port::{Arrival, Caller, Engine, Input, Reply, RunEnd, Store};
+use super::requests::{Feed, Open, Phase, Requests};
+use super::status::Status;
 use crate::settings::Site;
 use crate::{Action, Controller, Effect, Event, Halting, Outcome, Request};
 
@@ -31,9 +31,6 @@
 /// Before the kill, ms: the core answers all that is left, and the process ends.
 const LAST_ANSWERS_MS: f64 = 120.0;
 const EXIT_MS: f64 = 60.0;
-/// Entries of the key table outlive their time by this much, ms, for tries that came in time and were read
-/// late: longer than any caller waits.
-const KEY_AFTERLIFE_MS: f64 = 15_000.0;
 /// Between two clearings of the key table, ms.
 const KEY_SWEEP_MS: f64 = 1000.0;
 /// How far ahead of the clock a request may say it came, ms, and how many times its class's time, and this much
@@ -45,188 +42,6 @@
 /// Part of the process memory that kept results may take; past it a repeat is failed, still never run.
 const RESULTS_PART: f64 = 0.25;
 
-/// One end of a connection on which requests came. The core answers through it and never waits for it.
-pub trait Caller {
-    /// Tells callers apart, over all fronts.
-    fn id(&self) -> u64;
-    /// Queues the one answer to the request that this caller named `ticket`.
-    fn answer(&self, ticket: u64, reply: &Reply);
-    /// No new request should come on this connection; it may go once everything on it is answered.
-    fn leave(&self);
-    /// Leaves if nothing was carried since this time.
-    fn leave_if_idle(&self, since_ms: f64);
-}
-
-/// A final answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply {
-    /// The result that the engine made.
-    Served(Rc<[u8]>),
-    /// This try never ran. The caller should stay away for `backoff_ms`, and not try elsewhere if `last`.
-    Refused {
-        /// 0 for no advice.
-        backoff_ms: f64,
-        /// Ask for no further try.
-        last: bool,
-    },
-    /// It failed; nothing is promised. `late` if there was no time left.
-    Failed {
-        /// It was out of time.
-        late: bool,
-    },
-}
-
-/// A request as a front has read it.
-pub struct Arrival {
-    /// Where the answer goes.
-    pub caller: Rc<dyn Caller>,
-    /// The caller's own name for it, not in use.
-    pub ticket: u64,
-    /// The name that engine and store know it by, new with every try.
-    pub rid: String,
-    /// Index of its class.
-    pub class: usize,
-    /// When it reached the machine, Unix ms.
-    pub t0: f64,
-    /// Marked as a further try.
-    pub again: bool,
-    /// Work hint, ms.
-    pub est_ms: Option<f64>,
-    /// Memory while held, kB.
-    pub mem_kb: f64,
-    /// The idempotency key, in keyed classes.
-    pub token: Option<String>,
-    /// The subject of a read.
-    pub subject: Option<String>,
-    /// Index of its tenant.
-    pub tenant: Option<usize>,
-    /// The work itself, passed on as it is.
-    pub body: Vec<u8>,
-}
-
-/// How the engine ended a run.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RunEnd {
-    /// With this result.
-    Complete(Rc<[u8]>),
-    /// It failed.
-    Error,
-    /// It was stopped.
-    Cancelled,
-    /// Nothing was started.
-    Unknown,
-}
-
-/// What reaches the core.
-pub enum Input {
-    /// A connection was accepted.
-    Opened(Rc<dyn Caller>),
-    /// A connection is over; nobody waits for what is left on it.
-    Closed(u64),
-    /// A request was read.
-    Request(Box<Arrival>),
-    /// The caller gave this request up.
-    Gone(u64, u64),
-    /// The engine answered an attach.
-    EngineUp {
-        /// It started cold.
-        cold: bool,
-        /// That long ago, ms.
-        ms: f64,
-    },
-    /// The link to the engine broke.
-    EngineDown,
-    /// A run is over.
-    Done(String, RunEnd),
-    /// A run stands before a call, told by the notice of this number, with this body.
-    Need(String, u64, Vec<u8>),
-    /// The gauges that were asked for with this tag.
-    Stats(u64, Vec<f64>),
-    /// The engine did not carry out a command for this request.
-    Declined(String, String),
-    /// A call is over, with the reply if it went well.
-    CallEnded(String, Outcome, Option<Vec<u8>>),
-    /// The notice to leave.
-    Leave,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Held,
-    Waiting,
-    Running,
-    AtCall,
-    Calling,
-}
-
-/// A request from its reading until it is answered and its run is over.
-struct Open {
-    caller: Option<Rc<dyn Caller>>,
-    caller_id: u64,
-    ticket: u64,
-    rid: String,
-    class: usize,
-    t0: f64,
-    due_ms: f64,
-    key: Option<Key>,
-    body: Vec<u8>,
-    /// Digest of the body, for tries of one key.
-    digest: u64,
-    phase: Phase,
-    /// The kept try whose result it asks for.
-    repeats: Option<u32>,
-    /// The notice that asked for the call, and what the call is to carry.
-    need: (u64, Vec<u8>),
-    /// What the run goes on with after its last call, until a later notice shows that the engine has it, and
-    /// how many times gauges had been asked for when it was written; nothing there if it was not.
-    feed: Option<Feed>,
-    fed: Option<u64>,
-    called_ms: f64,
-    /// How many times gauges had been asked for when the last command about it was written.
-    commanded: u64,
-    halted: bool,
-}
-
-impl Open {
-    /// Writes what the run goes on with; tells whether there is a link that it goes to.
-    fn feed_to(&self, engine: &EngineLink) -> bool {
-        match &self.feed {
-            Some(Feed::Reply(reply)) => engine.feed(&self.rid, reply),
-            Some(Feed::Nothing) => engine.skip(&self.rid, self.need.0),
-            None => false,
-        }
-    }
-}
-
-/// What a run that waits for a call goes on with.
-enum Feed {
-    /// The reply of the store.
-    Reply(Vec<u8>),
-    /// Nothing: the call is left out.
-    Nothing,
-}
-
-type Key = (usize, String);
-
-/// What is known of the try of a key that ran.
-#[derive(Clone)]
-enum TryResult {
-    Pending,
-    Done(Rc<[u8]>),
-    Failed,
-}
-
-struct Kept {
-    holder: u32,
-    /// Digest of the holder's body: all tries of one request carry the same.
-    digest: u64,
-    until: f64,
-    /// The try that was started, and the end of the window in which no other may be.
-    ran: Option<(u32, f64)>,
-    result: TryResult,
-    waiters: Vec<u32>,
-}
-
 struct Asked {
     tag: u64,
     token: u32,
@@ -250,9 +65,9 @@
     /// Counters.
     pub counters: Rc<Counters>,
     /// The engine.
-    pub engine: Rc<EngineLink>,
+    pub engine: Rc<dyn Engine>,
     /// The store.
-    pub store: Rc<StoreLink>,
+    pub store: Rc<dyn Store>,
 }
 
 /// The core. [`Core::run`] is its task; the rest is for that task alone.
@@ -260,12 +75,8 @@
     parts: Parts,
     controller: Option<Controller>,
     callers: BTreeMap<u64, Rc<dyn Caller>>,
-    open: BTreeMap<u32, Open>,
-    by_rid: HashMap<String, u32>,
-    by_ticket: BTreeMap<(u64, u64), u32>,
-    keys: HashMap<Key, Kept>,
-    kept_bytes: usize,
-    next_id: u32,
+    requests: Requests,
+    keys: Keys,
     actions: Vec<Action>,
     follow_up: VecDeque<Event>,
     timers: Vec<(f64, u32)>,
@@ -280,23 +91,18 @@
     idle_ms: Option<f64>,
     leave_ms: Option<f64>,
     instant_keys: Vec<Key>,
-    /// Seeded anew in each process, so that nobody can make two bodies alike.
-    digests: RandomState,
 }
 
 impl Core {
     /// A core without a decision module: that is made when the engine says how the machine started.
     pub fn new(parts: Parts) -> Self {
+        let keys = Keys::new(RESULTS_PART * parts.memory_mb * 1_048_576.0);
         Core {
             parts,
             controller: None,
             callers: BTreeMap::new(),
-            open: BTreeMap::new(),
-            by_rid: HashMap::new(),
-            by_ticket: BTreeMap::new(),
-            keys: HashMap::new(),
-            kept_bytes: 0,
-            next_id: 0,
+            requests: Requests::default(),
+            keys,
             actions: Vec::new(),
             follow_up: VecDeque::new(),
             timers: Vec::new(),
@@ -311,7 +117,6 @@
             idle_ms: None,
             leave_ms: None,
             instant_keys: Vec::new(),
-            digests: RandomState::new(),
         }
     }
 
@@ -359,15 +164,14 @@
             }
             Input::Closed(caller) => {
                 self.callers.remove(&caller);
-                let left = self.by_ticket.range((caller, 0)..=(caller, u64::MAX));
-                for id in left.map(|(_, id)| *id).collect::<Vec<_>>() {
+                for id in self.requests.owed_to(caller) {
                     self.gone(now, id);
                 }
             }
             Input::Request(arrival) => self.arrived(now, *arrival),
             Input::Gone(caller, ticket) => {
-                if let Some(id) = self.by_ticket.get(&(caller, ticket)) {
-                    self.gone(now, *id);
+                if let Some(id) = self.requests.by_ticket(caller, ticket) {
+                    self.gone(now, id);
                 }
             }
             Input::EngineUp { cold, ms } => self.engine_up(now, cold, ms),
@@ -376,13 +180,13 @@
                 self.barrier = None;
             }
             Input::Done(rid, end) => {
-                if let Some(id) = self.by_rid.get(&rid).copied() {
+                if let Some(id) = self.requests.by_rid(&rid) {
                     self.run_ended(now, id, end);
                 }
             }
             Input::Need(rid, notice, body) => {
-                let Some(id) = self.by_rid.get(&rid).copied() else { return };
-                let Some(open) = self.open.get_mut(&id) else { return };
+                let Some(id) = self.requests.by_rid(&rid) else { return };
+                let Some(open) = self.requests.get_mut(id) else { return };
                 open.phase = Phase::AtCall;
                 open.need = (notice, body);
                 open.feed = None;
@@ -396,7 +200,7 @@
             Input::Declined(command, rid) => {
                 count(&self.parts.counters.engine_refusals);
                 log(format_args!("engine-refused command={command} rid={rid}"));
-                if let ("RUN", Some(id)) = (command.as_str(), self.by_rid.get(&rid).copied()) {
+                if let ("RUN", Some(id)) = (command.as_str(), self.requests.by_rid(&rid)) {
                     self.run_ended(now, id, RunEnd::Unknown);
                 }
             }
@@ -416,7 +220,7 @@
         let key = name.map(|name| (arrival.class, name));
         let due_ms = arrival.t0 + class.deadline_ms;
         // Without a module nothing runs, and a name in use would mix up two runs: neither try has run.
-        if self.controller.is_none() || self.by_rid.contains_key(&arrival.rid) {
+        if self.controller.is_none() || self.requests.by_rid(&arrival.rid).is_some() {
             self.turn_back(&arrival, &Reply::Refused { backoff_ms: 0.0, last: false });
             return;
         }
@@ -433,42 +237,27 @@
             }
             self.instant_keys.push(key.clone());
         }
-        let digest = self.digests.hash_one(&arrival.body);
+        let digest = self.keys.digest(&arrival.body);
         // Another request under a known key: its sender must not get what was made of the first, nor run.
-        let other = |key| self.kept_try(key, arrival.t0).is_some() && self.keys[key].digest != digest;
-        if key.as_ref().is_some_and(other) {
+        if key.as_ref().is_some_and(|key| self.keys.is_other(key, arrival.t0, digest)) {
             count(&self.parts.counters.refused_bodies);
             self.turn_back(&arrival, &Reply::Failed { late: false });
             return;
         }
-        self.next_id += 1;
-        let id = self.next_id;
-        let repeats = key.as_ref().and_then(|key| self.kept_try(key, arrival.t0));
+        let repeats = key.as_ref().and_then(|key| self.keys.kept_try(key, arrival.t0));
         if repeats.is_some() {
             count(&self.parts.counters.repeats);
         }
-        let request = Request {
-            id,
-            class: arrival.class,
-            tenant: arrival.tenant,
-            due_ms: None,
-            hint_ms: arrival.est_ms,
-            mem_kb: arrival.mem_kb,
-            retry: arrival.again,
-            queued_ms: (now - arrival.t0).max(0.0),
-            repeats,
-            has_subject: arrival.subject.is_some(),
-        };
-        let caller_id = arrival.caller.id();
-        self.by_rid.insert(arrival.rid.clone(), id);
-        self.by_ticket.insert((caller_id, arrival.ticket), id);
-        let open = Open {
+        let (has_subject, retry) = (arrival.subject.is_some(), arrival.again);
+        let (class, tenant, mem_kb, t0) = (arrival.class, arrival.tenant, arrival.mem_kb, arrival.t0);
+        let hint_ms = arrival.est_ms;
+        let id = self.requests.enter(Open {
+            caller_id: arrival.caller.id(),
             caller: Some(arrival.caller),
-            caller_id,
             ticket: arrival.ticket,
             rid: arrival.rid,
-            class: arrival.class,
-            t0: arrival.t0,
+            class,
+            t0,
             due_ms,
             key,
             body: arrival.body,
@@ -481,8 +270,20 @@
             called_ms: 0.0,
             commanded: 0,
             halted: false,
+        });
+        let queued_ms = (now - t0).max(0.0);
+        let request = Request {
+            id,
+            class,
+            tenant,
+            due_ms: None,
+            hint_ms,
+            mem_kb,
+            retry,
+            queued_ms,
+            repeats,
+            has_subject,
         };
-        self.open.insert(id, open);
         self.tell(now, Event::Arrived(request));
     }
 
@@ -500,24 +301,12 @@
         });
     }
 
-    /// The try that a request with this key repeats, if it reached the machine while the entry lived.
-    fn kept_try(&self, key: &Key, t0: f64) -> Option<u32> {
-        let kept = self.keys.get(key)?;
-        match kept.ran {
-            Some((ran, until)) if t0 < until => Some(ran),
-            _ if t0 < kept.until => Some(kept.holder),
-            _ => None,
-        }
-    }
-
     fn gone(&mut self, now: f64, id: u32) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        if open.caller.take().is_none() {
+        if self.requests.release(id).is_none() {
             return;
         }
         count(&self.parts.counters.gone);
-        self.by_ticket.remove(&(open.caller_id, open.ticket));
-        let phase = open.phase;
+        let Some(phase) = self.requests.get(id).map(|open| open.phase) else { return };
         self.tell(now, Event::CallerGone { id });
         match phase {
             Phase::Held | Phase::Waiting => self.forget_request(id),
@@ -555,11 +344,11 @@
     /// link, it would leave the run waiting until its due time. Probes showed that a run that goes on passes a
     /// second reply over, and that a later call takes none but its own. Going on without names its notice.
     fn resend(&mut self) {
-        for open in self.open.values_mut() {
+        for open in self.requests.iter_mut() {
             let unread = |asks: u64| asks >= self.acked;
             if open.feed.is_some() && open.fed.is_none_or(unread) {
                 log(format_args!("refeed rid={} doubt={}", open.rid, open.fed.is_some()));
-                open.feed_to(&self.parts.engine);
+                feed_to(open, &*self.parts.engine);
                 open.fed = Some(self.asks);
             } else if unread(open.commanded) && open.halted {
                 self.parts.engine.halt(&open.rid);
@@ -581,16 +370,16 @@
             self.resend();
         }
         self.acked = self.acked.max(tag);
-        if let Some(at) = self.asked.iter().position(|asked| asked.tag == tag) {
-            if let Some(asked) = self.asked.remove(at) {
-                let gauges = self.gauges.clone();
-                self.tell(now, Event::Timer { token: asked.token, gauges });
-            }
+        if let Some(at) = self.asked.iter().position(|asked| asked.tag == tag)
+            && let Some(asked) = self.asked.remove(at)
+        {
+            let gauges = self.gauges.clone();
+            self.tell(now, Event::Timer { token: asked.token, gauges });
         }
     }
 
     fn run_ended(&mut self, now: f64, id: u32, end: RunEnd) {
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.requests.get(id) else { return };
         if matches!(open.phase, Phase::Held | Phase::Waiting) {
             return;
         }
@@ -609,7 +398,7 @@
             _ => self.answer(id, Reply::Failed { late: false }),
         }
         self.tell(now, Event::Finished { id, outcome });
-        let key = self.open.get(&id).and_then(|open| open.key.clone());
+        let key = self.requests.get(id).and_then(|open| open.key.clone());
         self.forget_request(id);
         if let Some(key) = key {
             self.key_ended(&key, id, outcome, result);
@@ -618,34 +407,18 @@
 
     /// The try `id` of a key is over: its repeats are answered, and its result is kept for those to come.
     fn key_ended(&mut self, key: &Key, id: u32, outcome: Outcome, result: TryResult) {
-        let Some(kept) = self.keys.get_mut(key) else { return };
-        if kept.ran.is_some_and(|(ran, _)| ran != id) || (kept.ran.is_none() && kept.holder != id) {
-            return;
-        }
-        let waiters = std::mem::take(&mut kept.waiters);
+        let Some(waiters) = self.keys.waiters(key, id) else { return };
         for waiter in waiters {
             self.answer_repeat(waiter, &result);
         }
-        let Some(kept) = self.keys.get_mut(key) else { return };
-        if outcome == Outcome::Moot {
-            // Proved not to have run: the next try is a first one.
-            self.keys.remove(key);
-            return;
-        }
-        kept.result = result;
-        if let TryResult::Done(bytes) = &kept.result {
-            if (self.kept_bytes + bytes.len()) as f64 > RESULTS_PART * self.parts.memory_mb * 1_048_576.0 {
-                // Only the result goes. The entry stays, so that no repeat runs.
-                kept.result = TryResult::Failed;
-                count(&self.parts.counters.results_dropped);
-            } else {
-                self.kept_bytes += bytes.len();
-            }
+        // Proved not to have run, it leaves nothing: the next try is a first one.
+        if self.keys.keep(key, result, outcome == Outcome::Moot) {
+            count(&self.parts.counters.results_dropped);
         }
     }
 
     fn answer_repeat(&mut self, id: u32, result: &TryResult) {
-        if !self.open.get(&id).is_some_and(|open| open.phase == Phase::Waiting) {
+        if self.requests.in_phase(id, Phase::Waiting).is_none() {
             return;
         }
         let outcome = match result {
@@ -665,11 +438,8 @@
     }
 
     fn call_ended(&mut self, now: f64, rid: &str, outcome: Outcome, reply: Option<Vec<u8>>) {
-        let Some(id) = self.by_rid.get(rid).copied() else { return };
-        let Some(open) = self.open.get_mut(&id) else { return };
-        if open.phase != Phase::Calling {
-            return;
-        }
+        let Some(id) = self.requests.by_rid(rid) else { return };
+        let Some(open) = self.requests.in_phase(id, Phase::Calling) else { return };
         let took_ms = now - open.called_ms;
         match (outcome, reply) {
             (Outcome::Done, Some(reply)) => {
@@ -686,20 +456,20 @@
 
     /// Lets a run go on behind its call.
     fn go_on(&mut self, id: u32, feed: Feed) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.requests.get_mut(id) else { return };
         open.phase = Phase::Running;
         open.commanded = 0;
         open.feed = Some(feed);
         // A link that was left a moment ago takes nothing, and the core hears of it behind this.
         let linked = self.engine_up && self.barrier.is_none();
-        open.fed = (linked && open.feed_to(&self.parts.engine)).then_some(self.asks);
+        open.fed = (linked && feed_to(open, &*self.parts.engine)).then_some(self.asks);
     }
 
     fn leave(&mut self, now: f64) {
         if self.leave_ms.is_some() {
             return;
         }
-        log(format_args!("leaving open={} connections={}", self.open.len(), self.callers.len()));
+        log(format_args!("leaving open={} connections={}", self.requests.len(), self.callers.len()));
         self.leave_ms = Some(now);
         self.parts.status.leaving.set(true);
         self.parts.status.healthy.set(false);
@@ -724,7 +494,7 @@
     /// Whether the process may end: nothing is owed and nobody is connected, or the kill is near.
     fn has_left(&self, now: f64) -> bool {
         let Some(since) = self.leave_ms else { return false };
-        let idle = self.grace_is_over(now) && self.callers.is_empty() && self.by_ticket.is_empty();
+        let idle = self.grace_is_over(now) && self.callers.is_empty() && self.requests.nothing_owed();
         idle || now >= since + self.parts.stop_ms - EXIT_MS
     }
 
@@ -734,7 +504,7 @@
     pub fn next_due(&self) -> Option<f64> {
         let timers = self.timers.iter().map(|(at, _)| *at);
         let asked = self.asked.iter().map(|asked| asked.give_up_ms);
-        let idle = self.open.is_empty() && self.leave_ms.is_none();
+        let idle = self.requests.is_empty() && self.leave_ms.is_none();
         let watch = (!idle).then_some(self.watched_ms + WATCH_MS);
         timers.chain(asked).chain(watch).min_by(f64::total_cmp)
     }
@@ -769,12 +539,12 @@
     fn watch(&mut self, now: f64) {
         let slack = self.parts.site.settings.rules.answer_slack_ms * OVERDUE_PART;
         let kill = self.leave_ms.map_or(f64::INFINITY, |since| since + self.parts.stop_ms - LAST_ANSWERS_MS);
-        let owed = self.open.iter().filter(|(_, open)| open.caller.is_some());
+        let owed = self.requests.iter().filter(|(_, open)| open.caller.is_some());
         let late = owed.filter(|(_, open)| now >= kill || now >= open.due_ms + slack);
-        for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
+        for id in late.map(|(id, _)| id).collect::<Vec<_>>() {
             count(&self.parts.counters.overdue);
             self.answer(id, Reply::Failed { late: true });
-            let phase = self.open.get(&id).map(|open| open.phase);
+            let phase = self.requests.get(id).map(|open| open.phase);
             self.tell(now, Event::CallerGone { id });
             match phase {
                 Some(Phase::Held | Phase::Waiting) => self.forget_request(id),
@@ -793,16 +563,7 @@
         }
         if now >= self.swept_ms + KEY_SWEEP_MS {
             self.swept_ms = now;
-            let mut freed = 0;
-            self.keys.retain(|_, kept| {
-                let until = kept.ran.map_or(kept.until, |(_, until)| until.max(kept.until));
-                let live = until + KEY_AFTERLIFE_MS > now;
-                if let (false, TryResult::Done(bytes)) = (live, &kept.result) {
-                    freed += bytes.len();
-                }
-                live
-            });
-            self.kept_bytes -= freed;
+            self.keys.sweep(now);
         }
     }
 
@@ -833,13 +594,13 @@
                 self.drop_unrun(id);
             }
             Action::Fail { id } => {
-                let late = self.open.get(&id).is_some_and(|open| now + WATCH_MS >= open.due_ms);
+                let late = self.requests.get(id).is_some_and(|open| now + WATCH_MS >= open.due_ms);
                 self.answer(id, Reply::Failed { late });
                 self.drop_unrun(id);
                 self.end_at_call(id);
             }
             Action::Halt { id } => {
-                if let Some(open) = self.open.get_mut(&id).filter(|open| open.phase == Phase::Running) {
+                if let Some(open) = self.requests.in_phase(id, Phase::Running) {
                     count(&self.parts.counters.halts);
                     open.halted = true;
                     open.commanded = self.asks;
@@ -847,27 +608,24 @@
                 }
             }
             Action::Call { id, patience_ms } => {
-                if let Some(open) = self.open.get_mut(&id).filter(|open| open.phase == Phase::AtCall) {
+                if let Some(open) = self.requests.in_phase(id, Phase::AtCall) {
                     count(&self.parts.counters.calls);
                     open.phase = Phase::Calling;
                     open.called_ms = now;
                     let once = self.parts.site.settings.classes[open.class].effect != Effect::Read;
-                    self.parts.store.call(&open.rid, patience_ms, &open.need.1, once);
+                    self.parts.store.clone().call(&open.rid, patience_ms, &open.need.1, once);
                 }
             }
             Action::Skip { id } => {
-                if self.open.get(&id).is_some_and(|open| open.phase == Phase::AtCall) {
+                if self.requests.in_phase(id, Phase::AtCall).is_some() {
                     count(&self.parts.counters.calls_left_out);
                     self.go_on(id, Feed::Nothing);
                 }
             }
             Action::Remember { id, for_ms } => self.remember(now, id, for_ms),
             Action::Forget { id } => {
-                if let Some(key) = self.open.get(&id).and_then(|open| open.key.clone()) {
-                    // An entry whose try ran outlives every wish: it is what keeps the effect single.
-                    if self.keys.get(&key).is_some_and(|kept| kept.holder == id && kept.ran.is_none()) {
-                        self.keys.remove(&key);
-                    }
+                if let Some(key) = self.requests.get(id).and_then(|open| open.key.as_ref()) {
+                    self.keys.forget(key, id);
                 }
             }
             Action::Reuse { id } => self.reuse(id),
@@ -886,32 +644,18 @@
     }
 
     fn start(&mut self, id: u32) {
-        let Some(open) = self.open.get_mut(&id).filter(|open| open.phase == Phase::Held) else { return };
+        let Some(open) = self.requests.in_phase(id, Phase::Held) else { return };
         let class = &self.parts.site.settings.classes[open.class];
         if let (Effect::Keyed, Some(key)) = (class.effect, &open.key) {
-            let window = (id, open.t0 + class.key_window_ms + 1.0);
-            let digest = open.digest;
-            let kept = self.keys.entry(key.clone()).or_insert_with(|| Kept {
-                holder: id,
-                digest,
-                until: window.1,
-                ran: None,
-                result: TryResult::Pending,
-                waiters: Vec::new(),
-            });
-            // Guards the rule on duplicates against every cause, a module that forgot included.
-            if kept.ran.is_some_and(|(_, until)| open.t0 < until) {
+            let until = open.t0 + class.key_window_ms + 1.0;
+            let start = Start { id, digest: open.digest, t0: open.t0, until };
+            if self.keys.start(key, start).is_err() {
                 count(&self.parts.counters.doubles_prevented);
                 self.answer(id, Reply::Failed { late: false });
                 self.forget_request(id);
                 self.follow_up.push_back(Event::Finished { id, outcome: Outcome::Moot });
                 return;
             }
-            if let TryResult::Done(bytes) = std::mem::replace(&mut kept.result, TryResult::Pending) {
-                self.kept_bytes -= bytes.len();
-            }
-            kept.ran = Some(window);
-            kept.digest = digest;
         }
         open.phase = Phase::Running;
         open.commanded = self.asks;
@@ -922,58 +666,39 @@
     }
 
     fn remember(&mut self, now: f64, id: u32, for_ms: f64) {
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.requests.get(id) else { return };
         let Some(key) = open.key.clone() else { return };
-        let (until, digest) = (now + for_ms, open.digest);
-        match self.keys.get_mut(&key) {
-            Some(kept) => {
-                kept.holder = id;
-                kept.until = until;
-                kept.digest = digest;
-            }
-            None => {
-                let (result, waiters) = (TryResult::Pending, Vec::new());
-                self.keys.insert(key, Kept { holder: id, digest, until, ran: None, result, waiters });
-            }
-        }
+        self.keys.remember(key, id, open.digest, now + for_ms);
     }
 
     fn reuse(&mut self, id: u32) {
-        let Some(open) = self.open.get_mut(&id).filter(|open| open.phase == Phase::Held) else { return };
+        let Some(open) = self.requests.in_phase(id, Phase::Held) else { return };
         open.phase = Phase::Waiting;
         let (key, first) = (open.key.clone(), open.repeats);
-        let kept = key.as_ref().and_then(|key| self.keys.get_mut(key));
-        let under_way = first.is_some_and(|first| self.open.contains_key(&first));
-        match kept {
-            Some(kept) if matches!(kept.result, TryResult::Pending) && under_way => kept.waiters.push(id),
-            Some(kept) => {
-                let result = kept.result.clone();
-                self.answer_repeat(id, &result);
-            }
-            None => self.answer_repeat(id, &TryResult::Failed),
+        let under_way = first.is_some_and(|first| self.requests.get(first).is_some());
+        if let Joined::Over(result) = self.keys.join(key.as_ref(), id, under_way) {
+            self.answer_repeat(id, &result);
         }
     }
 
     /// Gives the one answer, if it is still owed.
     fn answer(&mut self, id: u32, reply: Reply) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(caller) = open.caller.take() else { return };
-        self.by_ticket.remove(&(open.caller_id, open.ticket));
-        let ticket = open.ticket;
+        let Some(caller) = self.requests.release(id) else { return };
+        let Some(ticket) = self.requests.get(id).map(|open| open.ticket) else { return };
         self.count_answer(&reply);
         caller.answer(ticket, &reply);
     }
 
     /// After an answer: what never ran is over.
     fn drop_unrun(&mut self, id: u32) {
-        if self.open.get(&id).is_some_and(|open| matches!(open.phase, Phase::Held | Phase::Waiting)) {
+        if self.requests.get(id).is_some_and(|open| matches!(open.phase, Phase::Held | Phase::Waiting)) {
             self.forget_request(id);
         }
     }
 
     /// Ends a run that stands at a call and whose request is over; the engine says when it has ended.
     fn end_at_call(&mut self, id: u32) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.requests.get_mut(id) else { return };
         if open.phase == Phase::Calling {
             self.parts.store.drop_call(&open.rid);
             open.phase = Phase::AtCall;
@@ -987,20 +712,22 @@
     }
 
     fn forget_request(&mut self, id: u32) {
-        let Some(open) = self.open.remove(&id) else { return };
-        self.by_rid.remove(&open.rid);
-        self.by_ticket.remove(&(open.caller_id, open.ticket));
-        let Some(key) = open.key else { return };
-        if let Some(kept) = self.keys.get_mut(&key) {
-            kept.waiters.retain(|waiter| *waiter != id);
-            // A held try that ends unrun leaves nothing to repeat.
-            if kept.ran.is_none() && kept.holder == id && open.phase == Phase::Held {
-                self.keys.remove(&key);
-            }
+        let Some(open) = self.requests.remove(id) else { return };
+        if let Some(key) = &open.key {
+            self.keys.left(key, id, open.phase == Phase::Held);
         }
     }
 }
 
+/// Writes what a run goes on with; tells whether there is a link that it goes to.
+fn feed_to(open: &Open, engine: &dyn Engine) -> bool {
+    match &open.feed {
+        Some(Feed::Reply(reply)) => engine.feed(&open.rid, reply),
+        Some(Feed::Nothing) => engine.skip(&open.rid, open.need.0),
+        None => false,
+    }
+}
+
 fn class_name(site: &Site, class: usize) -> &str {
     site.class_names.iter().find(|(_, index)| **index == class).map_or("", |(name, _)| name.as_str())
 }
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -12,11 +12,13 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use pinepoint_clock::Clock;
 
-use super::clock::Clock;
-use super::core::{Input, RunEnd};
-use super::observe::{Counters, count, log};
-use super::{Outbox, Signal, Status};
+use super::counters::{Counters, count, log};
+use super::outbox::Outbox;
+use super::port::{self, Input, RunEnd};
+use super::status::Status;
+use super::sync::Signal;
 use crate::Outcome;
 
 /// Longest line that is read, bytes.
@@ -176,29 +178,26 @@
         }
         self.up.get()
     }
+}
 
-    /// Begins a run.
-    pub fn run(&self, rid: &str, class: &str, body: &[u8]) {
+impl port::Engine for EngineLink {
+    fn run(&self, rid: &str, class: &str, body: &[u8]) {
         self.command(|out| with_body(out, &format!("RUN {rid} {class}"), body));
     }
 
-    /// Stops a run.
-    pub fn halt(&self, rid: &str) {
+    fn halt(&self, rid: &str) {
         self.command(|out| out.extend_from_slice(format!("HALT {rid}\r\n").as_bytes()));
     }
 
-    /// Hands a run the reply to its call; tells whether there is a link that it goes to.
-    pub fn feed(&self, rid: &str, reply: &[u8]) -> bool {
+    fn feed(&self, rid: &str, reply: &[u8]) -> bool {
         self.command(|out| with_body(out, &format!("FEED {rid}"), reply))
     }
 
-    /// Lets a run go on without the call that this notice asked for; tells whether there is a link.
-    pub fn skip(&self, rid: &str, notice: u64) -> bool {
+    fn skip(&self, rid: &str, notice: u64) -> bool {
         self.command(|out| out.extend_from_slice(format!("SKIP {rid} {notice}\r\n").as_bytes()))
     }
 
-    /// Asks for the gauges.
-    pub fn stat(&self, tag: u64) {
+    fn stat(&self, tag: u64) {
         self.command(|out| out.extend_from_slice(format!("STAT {tag}\r\n").as_bytes()));
     }
 }
@@ -295,10 +294,10 @@
                         Some(Input::Stats(LAST_TAG, _)) => return "moved".into(),
                         _ => {}
                     }
-                    if let Some(news) = news {
-                        if queue.send(news).await.is_err() {
-                            return "no-core".into();
-                        }
+                    if let Some(news) = news
+                        && queue.send(news).await.is_err()
+                    {
+                        return "no-core".into();
                     }
                     // Only now: the link may break while the core's queue is full, and the notice with it.
                     *last = number.unwrap_or(*last);
@@ -392,31 +391,6 @@
         StoreLink { peers, queue, clock, counters, executor, calls, idle }
     }
 
-    /// Makes a call for this request. One that must not be made twice gets a connection of its own: the reset of
-    /// a used one, forgotten by the store, would leave it uncertain though it never ran.
-    pub fn call(self: &Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool) {
-        let patience_ms = patience_ms.max(1.0);
-        let mut bytes = Vec::new();
-        with_body(&mut bytes, &format!("CALL {rid} {patience_ms:.0}"), body);
-        let (link, name) = (self.clone(), rid.to_owned());
-        let call = async move {
-            let (outcome, reply) = match link.converse(&name, &bytes, patience_ms, once).await {
-                Ok((outcome, reply)) => (outcome, reply),
-                Err(outcome) => (outcome, None),
-            };
-            let _ = link.queue.send(Input::CallEnded(name.clone(), outcome, reply)).await;
-            link.calls.borrow_mut().remove(&name);
-        };
-        let task = self.executor.spawn(call);
-        self.calls.borrow_mut().insert(rid.to_owned(), task);
-    }
-
-    /// Gives a call up by closing its connection; nothing is told of its end.
-    pub fn drop_call(&self, rid: &str) {
-        let call = self.calls.borrow_mut().remove(rid);
-        drop(call);
-    }
-
     /// A used connection that is as good as new, if there is one.
     fn used(&self, rid: &str) -> Option<Connection> {
         let (now, address) = (self.clock.now(), self.peers.store.get());
@@ -529,6 +503,33 @@
     }
 }
 
+impl port::Store for StoreLink {
+    /// One that must not be made twice gets a connection of its own: the reset of a used one, forgotten by the
+    /// store, would leave it uncertain though it never ran.
+    fn call(self: Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool) {
+        let patience_ms = patience_ms.max(1.0);
+        let mut bytes = Vec::new();
+        with_body(&mut bytes, &format!("CALL {rid} {patience_ms:.0}"), body);
+        let (link, name) = (self.clone(), rid.to_owned());
+        let call = async move {
+            let (outcome, reply) = match link.converse(&name, &bytes, patience_ms, once).await {
+                Ok((outcome, reply)) => (outcome, reply),
+                Err(outcome) => (outcome, None),
+            };
+            let _ = link.queue.send(Input::CallEnded(name.clone(), outcome, reply)).await;
+            link.calls.borrow_mut().remove(&name);
+        };
+        let task = self.executor.spawn(call);
+        self.calls.borrow_mut().insert(rid.to_owned(), task);
+    }
+
+    /// By closing its connection.
+    fn drop_call(&self, rid: &str) {
+        let call = self.calls.borrow_mut().remove(rid);
+        drop(call);
+    }
+}
+
 // ---- membership ----
 
 /// A socket from which datagrams can be sent to this address.
--- /dev/null
+++ b/src/node/port.rs
@@ -0,0 +1,133 @@
+//! The core's ports: everything that reaches it, and the narrow traits through which it reaches fronts and
+//! links. It owns these types only; it must never hold state, know a wire or decide.
+
+use std::rc::Rc;
+
+use crate::Outcome;
+
+/// One end of a connection on which requests came. The core answers through it and never waits for it.
+pub trait Caller {
+    /// Tells callers apart, over all fronts.
+    fn id(&self) -> u64;
+    /// Queues the one answer to the request that this caller named `ticket`.
+    fn answer(&self, ticket: u64, reply: &Reply);
+    /// No new request should come on this connection; it may go once everything on it is answered.
+    fn leave(&self);
+    /// Leaves if nothing was carried since this time.
+    fn leave_if_idle(&self, since_ms: f64);
+}
+
+/// The engine, as the core commands it. Commands are queued; while there is no link they are dropped.
+pub trait Engine {
+    /// Begins a run.
+    fn run(&self, rid: &str, class: &str, body: &[u8]);
+    /// Stops a run.
+    fn halt(&self, rid: &str);
+    /// Hands a run the reply to its call; tells whether there is a link that it goes to.
+    fn feed(&self, rid: &str, reply: &[u8]) -> bool;
+    /// Lets a run go on without the call that this notice asked for; tells whether there is a link.
+    fn skip(&self, rid: &str, notice: u64) -> bool;
+    /// Asks for the gauges.
+    fn stat(&self, tag: u64);
+}
+
+/// The store, as the core calls it: each call ends with one [`Input::CallEnded`] unless it is dropped.
+pub trait Store {
+    /// Makes a call for this request; `once` if it must not be made twice.
+    fn call(self: Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool);
+    /// Gives a call up; nothing is told of its end.
+    fn drop_call(&self, rid: &str);
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The result that the engine made.
+    Served(Rc<[u8]>),
+    /// This try never ran. The caller should stay away for `backoff_ms`, and not try elsewhere if `last`.
+    Refused {
+        /// 0 for no advice.
+        backoff_ms: f64,
+        /// Ask for no further try.
+        last: bool,
+    },
+    /// It failed; nothing is promised. `late` if there was no time left.
+    Failed {
+        /// It was out of time.
+        late: bool,
+    },
+}
+
+/// A request as a front has read it.
+pub struct Arrival {
+    /// Where the answer goes.
+    pub caller: Rc<dyn Caller>,
+    /// The caller's own name for it, not in use.
+    pub ticket: u64,
+    /// The name that engine and store know it by, new with every try.
+    pub rid: String,
+    /// Index of its class.
+    pub class: usize,
+    /// When it reached the machine, Unix ms.
+    pub t0: f64,
+    /// Marked as a further try.
+    pub again: bool,
+    /// Work hint, ms.
+    pub est_ms: Option<f64>,
+    /// Memory while held, kB.
+    pub mem_kb: f64,
+    /// The idempotency key, in keyed classes.
+    pub token: Option<String>,
+    /// The subject of a read.
+    pub subject: Option<String>,
+    /// Index of its tenant.
+    pub tenant: Option<usize>,
+    /// The work itself, passed on as it is.
+    pub body: Vec<u8>,
+}
+
+/// How the engine ended a run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunEnd {
+    /// With this result.
+    Complete(Rc<[u8]>),
+    /// It failed.
+    Error,
+    /// It was stopped.
+    Cancelled,
+    /// Nothing was started.
+    Unknown,
+}
+
+/// What reaches the core.
+pub enum Input {
+    /// A connection was accepted.
+    Opened(Rc<dyn Caller>),
+    /// A connection is over; nobody waits for what is left on it.
+    Closed(u64),
+    /// A request was read.
+    Request(Box<Arrival>),
+    /// The caller gave this request up.
+    Gone(u64, u64),
+    /// The engine answered an attach.
+    EngineUp {
+        /// It started cold.
+        cold: bool,
+        /// That long ago, ms.
+        ms: f64,
+    },
+    /// The link to the engine broke.
+    EngineDown,
+    /// A run is over.
+    Done(String, RunEnd),
+    /// A run stands before a call, told by the notice of this number, with this body.
+    Need(String, u64, Vec<u8>),
+    /// The gauges that were asked for with this tag.
+    Stats(u64, Vec<f64>),
+    /// The engine did not carry out a command for this request.
+    Declined(String, String),
+    /// A call is over, with the reply if it went well.
+    CallEnded(String, Outcome, Option<Vec<u8>>),
+    /// The notice to leave.
+    Leave,
+}
--- /dev/null
+++ b/src/node/requests.rs
@@ -0,0 +1,163 @@
+//! The table of open requests: each from its reading until it is answered and its run is over, by its number, by
+//! the name of its try and by the caller's own name for it. It owns where a request stands; it must never answer
+//! one, command a run or decide.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use super::keys::Key;
+use super::port::Caller;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Read, not started.
+    Held,
+    /// Waits for the try that it repeats.
+    Waiting,
+    /// Runs on the engine.
+    Running,
+    /// Its run stands before a call.
+    AtCall,
+    /// Its call is under way.
+    Calling,
+}
+
+/// What a run that waits for a call goes on with.
+pub enum Feed {
+    /// The reply of the store.
+    Reply(Vec<u8>),
+    /// Nothing: the call is left out.
+    Nothing,
+}
+
+/// A request from its reading until it is answered and its run is over.
+pub struct Open {
+    /// Where the answer goes, while one is owed.
+    pub caller: Option<Rc<dyn Caller>>,
+    /// Whose it is.
+    pub caller_id: u64,
+    /// The caller's name for it.
+    pub ticket: u64,
+    /// The name that engine and store know it by.
+    pub rid: String,
+    /// Index of its class.
+    pub class: usize,
+    /// When it reached the machine, ms.
+    pub t0: f64,
+    /// When its caller stops waiting, ms.
+    pub due_ms: f64,
+    /// Its key, or the subject that reads share.
+    pub key: Option<Key>,
+    /// The work.
+    pub body: Vec<u8>,
+    /// Digest of the body, for tries of one key.
+    pub digest: u64,
+    /// Where it stands.
+    pub phase: Phase,
+    /// The kept try whose result it asks for.
+    pub repeats: Option<u32>,
+    /// The notice that asked for the call, and what the call is to carry.
+    pub need: (u64, Vec<u8>),
+    /// What the run goes on with after its last call, until a later notice shows that the engine has it.
+    pub feed: Option<Feed>,
+    /// How many times gauges had been asked for when that was written; nothing there if it was not.
+    pub fed: Option<u64>,
+    /// When its call was made, ms.
+    pub called_ms: f64,
+    /// How many times gauges had been asked for when the last command about it was written.
+    pub commanded: u64,
+    /// The engine was told to stop it.
+    pub halted: bool,
+}
+
+/// The table.
+#[derive(Default)]
+pub struct Requests {
+    open: BTreeMap<u32, Open>,
+    by_rid: HashMap<String, u32>,
+    by_ticket: BTreeMap<(u64, u64), u32>,
+    last: u32,
+}
+
+impl Requests {
+    /// Enters a request under a number never used before.
+    pub fn enter(&mut self, open: Open) -> u32 {
+        self.last += 1;
+        self.by_rid.insert(open.rid.clone(), self.last);
+        self.by_ticket.insert((open.caller_id, open.ticket), self.last);
+        self.open.insert(self.last, open);
+        self.last
+    }
+
+    /// The request of this number.
+    pub fn get(&self, id: u32) -> Option<&Open> {
+        self.open.get(&id)
+    }
+
+    /// The same, to be changed.
+    pub fn get_mut(&mut self, id: u32) -> Option<&mut Open> {
+        self.open.get_mut(&id)
+    }
+
+    /// The same, if it stands there.
+    pub fn in_phase(&mut self, id: u32, phase: Phase) -> Option<&mut Open> {
+        self.open.get_mut(&id).filter(|open| open.phase == phase)
+    }
+
+    /// The number of the try of this name.
+    pub fn by_rid(&self, rid: &str) -> Option<u32> {
+        self.by_rid.get(rid).copied()
+    }
+
+    /// The number of the request that this caller named so, while an answer is owed.
+    pub fn by_ticket(&self, caller: u64, ticket: u64) -> Option<u32> {
+        self.by_ticket.get(&(caller, ticket)).copied()
+    }
+
+    /// The requests for which an answer is owed to this caller.
+    pub fn owed_to(&self, caller: u64) -> Vec<u32> {
+        self.by_ticket.range((caller, 0)..=(caller, u64::MAX)).map(|(_, id)| *id).collect()
+    }
+
+    /// Whether no answer is owed to anyone.
+    pub fn nothing_owed(&self) -> bool {
+        self.by_ticket.is_empty()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Number of open requests.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// All of them, in the order of their reading.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Open)> {
+        self.open.iter().map(|(id, open)| (*id, open))
+    }
+
+    /// The same, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Open> {
+        self.open.values_mut()
+    }
+
+    /// Takes the caller to whom an answer is owed; from here on none is.
+    pub fn release(&mut self, id: u32) -> Option<Rc<dyn Caller>> {
+        let open = self.open.get_mut(&id)?;
+        let caller = open.caller.take()?;
+        self.by_ticket.remove(&(open.caller_id, open.ticket));
+        Some(caller)
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: u32) -> Option<Open> {
+        let open = self.open.remove(&id)?;
+        self.by_rid.remove(&open.rid);
+        self.by_ticket.remove(&(open.caller_id, open.ticket));
+        Some(open)
+    }
+}
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -9,9 +9,9 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, future};
 
-use super::core::{Arrival, Caller, Input, Reply};
-use super::observe::count;
-use super::{Front, Guest, MESSAGE_MS, Writer};
+use super::counters::count;
+use super::listen::{Front, Guest, MESSAGE_MS, Writer};
+use super::port::{Arrival, Caller, Input, Reply};
 use crate::Effect;
 use crate::settings::Site;
 
--- /dev/null
+++ b/src/node/sync.rs
@@ -0,0 +1,52 @@
+//! Wake-ups between tasks of the one thread. It owns nothing else.
+
+use async_channel::{Receiver, Sender};
+
+/// A wake-up that is kept until it is awaited; many in a row count as one.
+#[derive(Debug)]
+pub struct Signal(Sender<()>, Receiver<()>);
+
+impl Default for Signal {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Signal(sender, receiver)
+    }
+}
+
+impl Signal {
+    /// Wakes the one that waits, or the next to wait.
+    pub fn wake(&self) {
+        // Full means that a wake-up is already under way.
+        let _ = self.0.try_send(());
+    }
+
+    /// Completes after the next wake-up.
+    pub async fn wait(&self) {
+        // Both ends live in this value, so the channel cannot be closed while it is awaited.
+        let _ = self.1.recv().await;
+    }
+}
+
+/// A gate that is opened once, for all that wait at it.
+#[derive(Debug)]
+pub struct Gate(Sender<()>, Receiver<()>);
+
+impl Default for Gate {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Gate(sender, receiver)
+    }
+}
+
+impl Gate {
+    /// Opens it; tells whether it was closed before.
+    pub fn open(&self) -> bool {
+        self.0.close()
+    }
+
+    /// Completes once it is open.
+    pub async fn passed(&self) {
+        // Nothing is ever sent: the channel ends when the gate opens.
+        let _ = self.1.recv().await;
+    }
+}
