Tell typed facts of each request to one observer, with the reason of each decision

Need: nobody could say how many requests of a class were served in their aim, or why one was refused: the module's actions carried no reason and the core kept thirty counters without a class. Telemetry comes first, the trace after it; both need one seam.

Change: crate pinepoint-facts holds the vocabulary (facts, reasons with one word each, the core's state). The core tells each fact to one observer, nobody yet. A second call for a request that is still in a call gives up the first at the store too; no engine does that, the property test did.

--- /dev/null
+++ b/crates/pinepoint-facts/src/lib.rs
@@ -0,0 +1,373 @@
+//! What happens to requests, as small typed values, and the seam through which the core tells one observer. It owns
+//! this vocabulary: the word of a reason is the same in the log, the counters, the trace and the operators' pages.
+//! It must never allocate, do I/O or depend on any other crate of the workspace.
+//!
+//! ```
+//! use pinepoint_facts::{Fact, Kind, Observer, Reason, Refusal};
+//!
+//! struct Last(std::cell::Cell<Option<Fact>>);
+//! impl Observer for Last {
+//!     fn note(&self, _now_ms: f64, fact: Fact) {
+//!         self.0.set(Some(fact));
+//!     }
+//! }
+//! let last = Last(None.into());
+//! last.note(1.0, Fact { id: 7, class: 0, kind: Kind::Gone { took_ms: 12.0 } });
+//! assert_eq!(last.0.get().map(|fact| fact.id), Some(7));
+//! assert_eq!(Refusal::TooLate.word(), "too-late");
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+/// An enum of reasons, each with one word.
+pub trait Reason: Copy + Eq + 'static {
+    /// All of them, in a fixed order: the order of [`Reason::index`].
+    const ALL: &'static [Self];
+    /// The word for it: lower-case letters and hyphens.
+    fn word(self) -> &'static str;
+    /// Its place in [`Reason::ALL`].
+    fn index(self) -> usize;
+}
+
+macro_rules! reasons {
+    ($(#[$outer:meta])* $name:ident { $($(#[$doc:meta])* $variant:ident = $word:literal,)+ }) => {
+        $(#[$outer])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $name { $($(#[$doc])* $variant,)+ }
+
+        impl Reason for $name {
+            const ALL: &'static [Self] = &[$($name::$variant,)+];
+
+            fn word(self) -> &'static str {
+                match self { $($name::$variant => $word,)+ }
+            }
+
+            fn index(self) -> usize {
+                self as usize
+            }
+        }
+
+        /// The word, as everywhere else.
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(self.word())
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(self.word())
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Why a try was turned away. It never ran.
+    Refusal {
+        /// It reached the machine after the grace of a drain.
+        Leaving = "leaving",
+        /// Memory for held and running requests and keys is used up.
+        NoRoom = "no-room",
+        /// No run gets anywhere.
+        Hung = "hung",
+        /// The call it needs can't be made in time.
+        NoCall = "no-call",
+        /// It would not end in time.
+        TooLate = "too-late",
+        /// It is among the least worthy of the share that loop 1 refuses.
+        Surplus = "surplus",
+        /// Held until no time was left.
+        GivenUp = "given-up",
+        /// Held, and one worth more took its place.
+        Displaced = "displaced",
+        /// The engine is not up yet.
+        NotUp = "not-up",
+        /// The name of the try is in use.
+        NameInUse = "name-in-use",
+    }
+}
+
+reasons! {
+    /// Why a try failed. It may have run.
+    Failure {
+        /// Its time was over.
+        Late = "late",
+        /// The stop of the process was near.
+        Stop = "stop",
+        /// The decisions had not answered by its time; the core did.
+        Overdue = "overdue",
+        /// A later try of its key took its place; neither had run.
+        Superseded = "superseded",
+        /// There is no memory to wait for the result of the try that it repeats.
+        NoRoom = "no-room",
+        /// Its run stood at a call that could not be made in time.
+        NoCall = "no-call",
+        /// Its call may have taken effect and must not be made again.
+        CallInDoubt = "call-in-doubt",
+        /// The engine said that the run failed.
+        RunError = "run-error",
+        /// The run was stopped.
+        RunStopped = "run-stopped",
+        /// The engine started nothing.
+        RunUnknown = "run-unknown",
+        /// The try that it repeats failed, or its result is no longer kept.
+        RepeatFailed = "repeat-failed",
+        /// Its key is known and stands for another body.
+        OtherBody = "other-body",
+        /// Its time of arrival can't be.
+        BadTime = "bad-time",
+        /// Another try of its key had run, and the core did not start it.
+        AlreadyRan = "already-ran",
+    }
+}
+
+reasons! {
+    /// How a call ended.
+    CallEnd {
+        /// It went well.
+        Done = "done",
+        /// It failed and may have taken effect.
+        Failed = "failed",
+        /// It was turned away and never ran.
+        Declined = "declined",
+        /// It was given up and may have taken effect.
+        TimedOut = "timed-out",
+        /// What lies below could not be reached: it never ran.
+        Unreachable = "unreachable",
+        /// It was cut off and may have taken effect.
+        Reset = "reset",
+        /// Nobody waits for it any more: its request is over.
+        Dropped = "dropped",
+    }
+}
+
+reasons! {
+    /// How the engine ended a run.
+    RunEnd {
+        /// With a result.
+        Complete = "complete",
+        /// It failed.
+        Error = "error",
+        /// It was stopped.
+        Stopped = "stopped",
+        /// Nothing was started.
+        Unknown = "unknown",
+    }
+}
+
+reasons! {
+    /// A bound of the process that was reached.
+    Limit {
+        /// Connections of all fronts: one had to give way.
+        Connections = "connections",
+        /// Memory for results of keyed requests: one was dropped.
+        Results = "results",
+        /// Memory for answers that nobody reads: a connection was ended.
+        Unread = "unread",
+    }
+}
+
+reasons! {
+    /// The front that read a request.
+    Front {
+        /// MessagePack-RPC.
+        Rpc = "rpc",
+        /// AJP13.
+        Ajp = "ajp",
+    }
+}
+
+/// What was decided about a held request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It is run.
+    Run,
+    /// It gets the result of the try that it repeats.
+    Reuse,
+    /// It is turned away.
+    Refuse(Refusal),
+    /// It is failed.
+    Fail(Failure),
+}
+
+/// A final answer, but for those that came too late to be one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// With a result.
+    Served {
+        /// Made for another try of the same request.
+        reused: bool,
+        /// Made without a call that the run asked for.
+        poorer: bool,
+    },
+    /// This try never ran.
+    Refused(Refusal),
+    /// Nothing is promised.
+    Failed(Failure),
+}
+
+/// One thing that happened to one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fact {
+    /// The core's number for the request; 0 for one that the decision module did not get to see.
+    pub id: u32,
+    /// Index of its class.
+    pub class: usize,
+    /// What happened.
+    pub kind: Kind,
+}
+
+/// What happened to a request. All durations are milliseconds; `took_ms` counts from the arrival at the machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// It was read whole and handed to the core.
+    Read {
+        /// By this front.
+        front: Front,
+        /// Marked as a further try.
+        again: bool,
+        /// Work hint, ms on one core.
+        hint_ms: Option<f64>,
+        /// Time that it lay unread.
+        unread_ms: f64,
+    },
+    /// The module decided about it.
+    Decided(Decision),
+    /// Its run was begun.
+    RunBegan {
+        /// Time since it was read.
+        held_ms: f64,
+    },
+    /// Its run is over.
+    RunOver {
+        /// How.
+        end: RunEnd,
+        /// Time since its run was begun.
+        ran_ms: f64,
+    },
+    /// A call was made for it.
+    CallMade,
+    /// A call is over.
+    CallOver {
+        /// How.
+        end: CallEnd,
+        /// Time since the call was made.
+        called_ms: f64,
+    },
+    /// Its run goes on without its call.
+    CallLeftOut,
+    /// It got its final answer.
+    Answered {
+        /// The answer.
+        answer: Answer,
+        /// Work hint, ms on one core.
+        hint_ms: Option<f64>,
+        /// Time since it reached the machine.
+        took_ms: f64,
+    },
+    /// It was told that there was no time left: its final answer as well.
+    Expired {
+        /// Why that was seen.
+        why: Failure,
+        /// Time since it reached the machine.
+        took_ms: f64,
+    },
+    /// Its caller left; no answer is owed.
+    Gone {
+        /// Time since it reached the machine.
+        took_ms: f64,
+    },
+}
+
+/// What happened to the process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Turn {
+    /// The engine is up and the module was made.
+    Up,
+    /// The notice to leave has come; the process is killed at that time, Unix ms.
+    Leaving {
+        /// Time of the kill.
+        kill_ms: f64,
+    },
+    /// Nothing is owed any more, and the process is about to end.
+    Left,
+    /// A bound was reached.
+    Reached(Limit),
+}
+
+/// The state of the core at one instant, counted in its own tables.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// For each class, requests read that were neither answered nor given up.
+    pub open: Vec<u64>,
+    /// Requests held.
+    pub held: u64,
+    /// Requests that wait for the try they repeat.
+    pub waiting: u64,
+    /// Runs, those at a call included.
+    pub running: u64,
+    /// Calls in hand.
+    pub calls: u64,
+    /// Entries in the table of keys.
+    pub keys: u64,
+    /// Results kept, bytes.
+    pub results_bytes: u64,
+    /// Connections of all fronts.
+    pub connections: u64,
+    /// What the module says of itself: a name and a figure each, always the same names in the same order.
+    pub module: Vec<(&'static str, f64)>,
+}
+
+/// Who is told what happens. Told from the core's thread in the order of things; must neither wait nor fail.
+pub trait Observer {
+    /// Something happened to a request.
+    fn note(&self, now_ms: f64, fact: Fact);
+
+    /// Something happened to the process.
+    fn turn(&self, now_ms: f64, turn: Turn) {
+        let _ = (now_ms, turn);
+    }
+
+    /// The state of the core, in answer to a question for it.
+    fn state(&self, now_ms: f64, state: &State) {
+        let _ = (now_ms, state);
+    }
+}
+
+/// Nobody watches.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unwatched;
+
+impl Observer for Unwatched {
+    fn note(&self, _: f64, _: Fact) {}
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn check<R: Reason + std::fmt::Debug>() {
+        let words: std::collections::BTreeSet<_> = R::ALL.iter().map(|r| r.word()).collect();
+        assert_eq!(words.len(), R::ALL.len(), "each has a word of its own");
+        for (at, reason) in R::ALL.iter().enumerate() {
+            assert_eq!(reason.index(), at);
+            assert!(reason.word().bytes().all(|b| b.is_ascii_lowercase() || b == b'-'), "{reason:?}");
+        }
+    }
+
+    #[test]
+    fn every_reason_has_one_plain_word() {
+        check::<Refusal>();
+        check::<Failure>();
+        check::<CallEnd>();
+        check::<RunEnd>();
+        check::<Limit>();
+        check::<Front>();
+    }
+
+    #[test]
+    fn a_fact_is_small() {
+        assert!(std::mem::size_of::<Fact>() <= 64, "{}", std::mem::size_of::<Fact>());
+    }
+}
--- a/src/bin/pinepoint-adapter/wire.rs
+++ b/src/bin/pinepoint-adapter/wire.rs
@@ -316,10 +316,10 @@
 fn line(server: u64, action: &Action) -> Line<'_> {
     match *action {
         Action::Start { id } => Line::Admit { server, txn: id },
-        Action::Refuse { id, pause_ms, last } => {
+        Action::Refuse { id, pause_ms, last, .. } => {
             Line::TurnAway { server, txn: id, pause_ms, dont_retry: last }
         }
-        Action::Fail { id } => Line::Error { server, txn: id },
+        Action::Fail { id, .. } => Line::Error { server, txn: id },
         Action::Halt { id } => Line::Preempt { server, txn: id },
         Action::Call { id, patience_ms } => Line::GoCall { server, txn: id, patience_ms },
         Action::Skip { id } => Line::DoWithout { server, txn: id },
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -24,6 +24,7 @@
 use pinepoint::node::{ajp, links, rpc};
 use pinepoint::settings::Site;
 use pinepoint_clock::Clock;
+use pinepoint_facts::Unwatched;
 
 /// Descriptors kept for links, listeners, signals and the like: a part of all, as a divisor, between two bounds.
 /// The program holds about a dozen beside its connections, and one for each call in hand, of which the share of a
@@ -205,6 +206,7 @@
         clock: clock.clone(),
         status: status.clone(),
         counters: counters.clone(),
+        observer: Rc::new(Unwatched),
         engine: engine.clone(),
         store,
     });
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,6 +11,8 @@
 
 use crate::interface::*;
 
+pub mod view;
+
 /// Setpoint CT of the busy-cores share, 1. The paper leaves it open. Two cores are all busy by chance for a
 /// second at a time: at 0.97 a fleet at two thirds of its load refused a sixth of it beside short holds.
 const BUSY_SETPOINT: f64 = 0.99;
@@ -159,11 +161,6 @@
 /// Answers at a drain go out this long before the kill, ms.
 const DRAIN_MARGIN_MS: f64 = 150.0;
 
-/// Reason of a refusal that holds on every server: all share the dependency, so callers need not go on.
-const NO_CALL: &str = "no call";
-/// Reasons of refusals after a wait in the hold: no time is left, or one worth more took the place.
-const GIVEN_UP: &str = "held";
-const DISPLACED: &str = "displaced";
 /// Refusals for each line in the log that tells their reasons.
 const NOTE_EVERY: u32 = 50;
 
@@ -241,7 +238,8 @@
     start_loop: Pi,
     alpha: f64,
     credit: f64,
-    turned_away: BTreeMap<&'static str, u32>,
+    start_rate: f64,
+    turned_away: BTreeMap<Refusal, u32>,
     // what runs take
     core_share: f64,
     share_total: f64,
@@ -303,6 +301,7 @@
             start_loop: Pi { kp: START_KP, ki: START_KI, integral: 0.0 },
             alpha: 0.0,
             credit: 0.0,
+            start_rate: 0.0,
             turned_away: BTreeMap::new(),
             core_share: 1.0,
             share_total: 0.0,
@@ -409,8 +408,8 @@
         self.alpha = self.alpha_loop.step(self.busy + unread / UNREAD_FULL_MS - BUSY_SETPOINT, dt, 0.0, 1.0);
         let held = self.count(State::Held);
         let most = STARTS_MOST * cores / dt.max(0.001);
-        let u = self.start_loop.step(held - QUEUE_TIME_S * self.rate_per_s, dt, 0.0, most);
-        self.credit = (self.credit + u * dt).min(1.0 + u * dt);
+        self.start_rate = self.start_loop.step(held - QUEUE_TIME_S * self.rate_per_s, dt, 0.0, most);
+        self.credit = (self.credit + self.start_rate * dt).min(1.0 + self.start_rate * dt);
         self.keys.retain(|_, until| *until > now);
         self.answer_due(now, out);
         self.watch_progress(now, dt);
@@ -496,11 +495,11 @@
                 // Neither try has run: the later one, whose caller still waits, takes the place.
                 self.keys.remove(&first);
                 out.push(Action::Forget { id: first });
-                self.fail(first, out);
+                self.fail(first, Failure::Superseded, out);
             } else if keyed || !matches!(state, Some(State::Waiting | State::Held)) {
                 // It runs, ran, or may have run: a second run is out of the question, its result is not.
                 if no_room {
-                    self.fail(id, out);
+                    self.fail(id, Failure::NoRoom, out);
                 } else {
                     self.entries.get_mut(&id).expect("just seen").state = State::Waiting;
                     out.push(Action::Reuse { id });
@@ -519,15 +518,15 @@
         // Taken although the wait makes it late, it would be answered late or turned away after the wait.
         let spoilt = must_wait && score < self.score(&entry, now);
         let reasons = [
-            (too_late, "leaving"),
-            (no_room, "no room"),
-            (self.hung, "hung"),
-            (score <= 0.0 && self.call_wait_ms(&entry).1 > 0.0, NO_CALL),
-            (score <= 0.0 || spoilt, "too late"),
+            (too_late, Refusal::Leaving),
+            (no_room, Refusal::NoRoom),
+            (self.hung, Refusal::Hung),
+            (score <= 0.0 && self.call_wait_ms(&entry).1 > 0.0, Refusal::NoCall),
+            (score <= 0.0 || spoilt, Refusal::TooLate),
         ];
         let hopeless = reasons.iter().find(|(applies, _)| *applies).map(|(_, why)| *why);
         let mut surplus = || must_wait && rank < self.alpha && !self.finds_place(now, id, out);
-        if let Some(why) = hopeless.or_else(|| surplus().then_some("alpha")) {
+        if let Some(why) = hopeless.or_else(|| surplus().then_some(Refusal::Surplus)) {
             self.refuse(id, why, out);
             return;
         }
@@ -550,7 +549,7 @@
         let mine = self.score(&self.entries[&id], now);
         let least = scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
         let displaced = least.filter(|(score, _)| mine > score * (1.0 + ALIKE));
-        displaced.inspect(|(_, other)| self.refuse(*other, DISPLACED, out)).is_some()
+        displaced.inspect(|(_, other)| self.refuse(*other, Refusal::Displaced, out)).is_some()
     }
 
     fn remember(&mut self, now: f64, id: u32, for_ms: f64, out: &mut Vec<Action>) {
@@ -860,7 +859,7 @@
             entry.share_at_start += share - entry.stopped_share;
             out.push(Action::Skip { id });
         } else if score <= 0.0 {
-            self.fail(id, out);
+            self.fail(id, Failure::NoCall, out);
         }
     }
 
@@ -908,14 +907,14 @@
         entry.state = if outcome == Outcome::Done { State::Running } else { State::AtCall };
         if outcome != Outcome::Done && !unseen && !safe {
             // The call may have taken effect: making it again could do it twice.
-            self.fail(id, out);
+            self.fail(id, Failure::CallInDoubt, out);
         }
     }
 
     // ---- answers and due times ----
 
-    fn refuse(&mut self, id: u32, why: &'static str, out: &mut Vec<Action>) {
-        let given_up = why == GIVEN_UP || why == DISPLACED;
+    fn refuse(&mut self, id: u32, why: Refusal, out: &mut Vec<Action>) {
+        let given_up = matches!(why, Refusal::GivenUp | Refusal::Displaced);
         self.entries.remove(&id);
         self.turned_share += 1.0 / TURNED_OVER;
         *self.turned_away.entry(why).or_default() += 1;
@@ -932,13 +931,14 @@
         // One given up after a wait is told to come back when what is held has had its turn.
         let back_ms = if given_up { self.hold_ms().max(self.period_ms()) } else { 0.0 };
         let pause_ms = if away || jammed { stay_away_ms } else { back_ms }.min(self.set.longest_pause_ms);
-        out.push(Action::Refuse { id, pause_ms, last: why == NO_CALL || (jammed && !away) });
+        // All share the dependency: callers of one that finds no call need not go on.
+        out.push(Action::Refuse { id, pause_ms, last: why == Refusal::NoCall || (jammed && !away), why });
     }
 
-    fn fail(&mut self, id: u32, out: &mut Vec<Action>) {
+    fn fail(&mut self, id: u32, why: Failure, out: &mut Vec<Action>) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         if std::mem::replace(&mut entry.owed, false) {
-            out.push(Action::Fail { id });
+            out.push(Action::Fail { id, why });
         }
         if matches!(entry.state, State::Held | State::Waiting) {
             self.entries.remove(&id);
@@ -960,10 +960,10 @@
             }
         }
         for id in refused {
-            self.refuse(id, GIVEN_UP, out);
+            self.refuse(id, Refusal::GivenUp, out);
         }
         for id in failed {
-            self.fail(id, out);
+            self.fail(id, if late >= kill { Failure::Stop } else { Failure::Late }, out);
             self.halt_useless(id, out);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! Every type that the decision module exposes. Plain data: what is decided lives in `brain.rs`.
 //! All times are milliseconds of the host's clock, all memory is in kilobytes.
 
+pub use pinepoint_facts::{Failure, Refusal};
+
 /// What a server is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -382,11 +384,15 @@
         pause_ms: f64,
         /// Ask the caller not to try another server.
         last: bool,
+        /// Why.
+        why: Refusal,
     },
     /// Final answer: an error.
     Fail {
         /// The request.
         id: u32,
+        /// Why.
+        why: Failure,
     },
     /// Stop running work.
     Halt {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,4 +76,5 @@
 pub mod settings;
 
 pub use brain::Controller;
+pub use brain::view::View;
 pub use interface::*;
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -402,13 +402,13 @@
                 let kind = vec![("Content-Type", "application/octet-stream".to_owned())];
                 self.respond(200, kind, result, reuse);
             }
-            Reply::Refused { backoff_ms, last } => {
+            Reply::Refused { backoff_ms, last, .. } => {
                 let seconds = (backoff_ms / 1000.0).ceil().max(1.0);
                 let mut headers = vec![("Retry-After", format!("{seconds:.0}"))];
                 headers.extend(last.then(|| ("final", "1".to_owned())));
                 self.respond(503, headers, b"", reuse);
             }
-            Reply::Failed { late } => self.respond(if *late { 504 } else { 500 }, Vec::new(), b"", reuse),
+            Reply::Failed { late, .. } => self.respond(if *late { 504 } else { 500 }, Vec::new(), b"", reuse),
         }
         self.answered.wake();
     }
@@ -603,6 +603,7 @@
     connection.open.set(Some(ticket));
     let arrival = Arrival {
         caller: connection.clone(),
+        front: pinepoint_facts::Front::Ajp,
         ticket,
         rid: name(options.seed, connection.guest.id, ticket),
         class: head.class,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -9,6 +9,7 @@
 use async_channel::Receiver;
 use futures_lite::future;
 use pinepoint_clock::Clock;
+use pinepoint_facts::{Answer, CallEnd, Decision, Fact, Kind, Limit, Observer, RunEnd as Over, State, Turn};
 
 use super::counters::{Counters, count, log};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
@@ -16,7 +17,7 @@
 use super::requests::{Feed, Open, Phase, Requests};
 use super::status::Status;
 use crate::settings::Site;
-use crate::{Action, Controller, Effect, Event, Halting, Outcome, Request};
+use crate::{Action, Controller, Effect, Event, Failure, Halting, Outcome, Refusal, Request};
 
 /// Wait for the gauges after a timer is due, ms: due times hang on timers, so a silent engine must not hold
 /// them up. Several rounds of a loaded loopback, and well under the slack of an answer.
@@ -64,6 +65,8 @@
     pub status: Rc<Status>,
     /// Counters.
     pub counters: Rc<Counters>,
+    /// Who is told what happens.
+    pub observer: Rc<dyn Observer>,
     /// The engine.
     pub engine: Rc<dyn Engine>,
     /// The store.
@@ -91,6 +94,8 @@
     idle_ms: Option<f64>,
     leave_ms: Option<f64>,
     instant_keys: Vec<Key>,
+    /// The instant in hand, ms.
+    now_ms: f64,
 }
 
 impl Core {
@@ -117,6 +122,7 @@
             idle_ms: None,
             leave_ms: None,
             instant_keys: Vec::new(),
+            now_ms: 0.0,
         }
     }
 
@@ -140,11 +146,51 @@
             }
             self.settle(now);
             if self.has_left(now) {
+                self.turn(Turn::Left);
                 return;
             }
         }
     }
 
+    // ---- facts out ----
+
+    fn note(&self, id: u32, class: usize, kind: Kind) {
+        self.parts.observer.note(self.now_ms, Fact { id, class, kind });
+    }
+
+    /// The same for a request in the table.
+    fn note_of(&self, id: u32, kind: impl FnOnce(&Open) -> Kind) {
+        if let Some(open) = self.requests.get(id) {
+            self.note(id, open.class, kind(open));
+        }
+    }
+
+    fn turn(&self, turn: Turn) {
+        self.parts.observer.turn(self.now_ms, turn);
+    }
+
+    /// What the tables hold now, and what the module says of itself.
+    pub fn state(&self) -> State {
+        let mut state = State { open: vec![0; self.parts.site.settings.classes.len()], ..State::default() };
+        for (_, open) in self.requests.iter() {
+            state.open[open.class] += u64::from(open.caller.is_some());
+            match open.phase {
+                Phase::Held => state.held += 1,
+                Phase::Waiting => state.waiting += 1,
+                Phase::Running | Phase::AtCall => state.running += 1,
+                Phase::Calling => {
+                    state.running += 1;
+                    state.calls += 1;
+                }
+            }
+        }
+        let (keys, results) = self.keys.size();
+        (state.keys, state.results_bytes) = (keys as u64, results as u64);
+        state.connections = self.callers.len() as u64;
+        state.module = self.controller.iter().flat_map(|module| module.view().figures()).collect();
+        state
+    }
+
     // ---- events in ----
 
     fn tell(&mut self, now: f64, event: Event) {
@@ -155,6 +201,7 @@
 
     /// Takes one input. What the module wants done is carried out by the next [`Core::settle`].
     pub fn take(&mut self, now: f64, input: Input) {
+        self.now_ms = now;
         match input {
             Input::Opened(caller) => {
                 if self.work_is_over(now) {
@@ -187,10 +234,16 @@
             Input::Need(rid, notice, body) => {
                 let Some(id) = self.requests.by_rid(&rid) else { return };
                 let Some(open) = self.requests.get_mut(id) else { return };
+                // A further call for the same request gives up the first.
+                let given_up = (open.phase == Phase::Calling).then(|| call_dropped(now, open));
+                if given_up.is_some() {
+                    self.parts.store.drop_call(&open.rid);
+                }
                 open.phase = Phase::AtCall;
                 open.need = (notice, body);
                 open.feed = None;
-                let over = open.caller.is_none();
+                let (over, class) = (open.caller.is_none(), open.class);
+                given_up.into_iter().for_each(|kind| self.note(id, class, kind));
                 self.tell(now, Event::NeedsCall { id });
                 if over {
                     self.end_at_call(id);
@@ -206,6 +259,7 @@
             }
             Input::CallEnded(rid, outcome, reply) => self.call_ended(now, &rid, outcome, reply),
             Input::Leave => self.leave(now),
+            Input::Look => self.parts.observer.state(now, &self.state()),
         }
     }
 
@@ -221,13 +275,14 @@
         let due_ms = arrival.t0 + class.deadline_ms;
         // Without a module nothing runs, and a name in use would mix up two runs: neither try has run.
         if self.controller.is_none() || self.requests.by_rid(&arrival.rid).is_some() {
-            self.turn_back(&arrival, &Reply::Refused { backoff_ms: 0.0, last: false });
+            let why = if self.controller.is_none() { Refusal::NotUp } else { Refusal::NameInUse };
+            self.turn_back(now, &arrival, &Reply::Refused { backoff_ms: 0.0, last: false, why });
             return;
         }
         let unread_most = class.deadline_ms * UNREAD_MOST + UNREAD_MORE_MS;
         if !(-AHEAD_MOST_MS..=unread_most).contains(&(now - arrival.t0)) {
             count(&self.parts.counters.bad_times);
-            self.turn_back(&arrival, &Reply::Failed { late: false });
+            self.turn_back(now, &arrival, &Reply::Failed { late: false, why: Failure::BadTime });
             return;
         }
         if let Some(key) = &key {
@@ -241,7 +296,7 @@
         // Another request under a known key: its sender must not get what was made of the first, nor run.
         if key.as_ref().is_some_and(|key| self.keys.is_other(key, arrival.t0, digest)) {
             count(&self.parts.counters.refused_bodies);
-            self.turn_back(&arrival, &Reply::Failed { late: false });
+            self.turn_back(now, &arrival, &Reply::Failed { late: false, why: Failure::OtherBody });
             return;
         }
         let repeats = key.as_ref().and_then(|key| self.keys.kept_try(key, arrival.t0));
@@ -251,6 +306,7 @@
         let (has_subject, retry) = (arrival.subject.is_some(), arrival.again);
         let (class, tenant, mem_kb, t0) = (arrival.class, arrival.tenant, arrival.mem_kb, arrival.t0);
         let hint_ms = arrival.est_ms;
+        let read = read_kind(now, &arrival);
         let id = self.requests.enter(Open {
             caller_id: arrival.caller.id(),
             caller: Some(arrival.caller),
@@ -258,6 +314,10 @@
             rid: arrival.rid,
             class,
             t0,
+            read_ms: now,
+            began_ms: now,
+            hint_ms,
+            poorer: false,
             due_ms,
             key,
             body: arrival.body,
@@ -271,6 +331,7 @@
             commanded: 0,
             halted: false,
         });
+        self.note(id, class, read);
         let queued_ms = (now - t0).max(0.0);
         let request = Request {
             id,
@@ -288,8 +349,10 @@
     }
 
     /// Answers a request that the module does not get to see.
-    fn turn_back(&self, arrival: &Arrival, reply: &Reply) {
+    fn turn_back(&self, now: f64, arrival: &Arrival, reply: &Reply) {
+        self.note(0, arrival.class, read_kind(now, arrival));
         self.count_answer(reply);
+        self.note(0, arrival.class, answer_kind(reply, false, false, arrival.est_ms, now - arrival.t0));
         arrival.caller.answer(arrival.ticket, reply);
     }
 
@@ -306,6 +369,7 @@
             return;
         }
         count(&self.parts.counters.gone);
+        self.note_of(id, |open| Kind::Gone { took_ms: now - open.t0 });
         let Some(phase) = self.requests.get(id).map(|open| open.phase) else { return };
         self.tell(now, Event::CallerGone { id });
         match phase {
@@ -332,6 +396,7 @@
             Ok(mut controller) => {
                 controller.handle(now - ms.max(0.0), Event::Begin, &mut self.actions);
                 self.controller = Some(controller);
+                self.turn(Turn::Up);
                 self.parts.status.listed.set(Some(true));
                 self.parts.status.report.wake();
             }
@@ -383,25 +448,30 @@
         if matches!(open.phase, Phase::Held | Phase::Waiting) {
             return;
         }
-        if open.phase == Phase::Calling {
+        let (calling, ran_ms) = (open.phase == Phase::Calling, now - open.began_ms);
+        if calling {
             self.parts.store.drop_call(&open.rid);
         }
         count(&self.parts.counters.runs_ended);
-        let (outcome, result) = match end {
-            RunEnd::Complete(bytes) => (Outcome::Done, TryResult::Done(bytes)),
-            RunEnd::Error => (Outcome::Failed, TryResult::Failed),
-            RunEnd::Cancelled => (Outcome::Cancelled, TryResult::Failed),
-            RunEnd::Unknown => (Outcome::Moot, TryResult::Failed),
+        let (outcome, end, result) = match end {
+            RunEnd::Complete(bytes) => (Outcome::Done, Over::Complete, Ok(bytes)),
+            RunEnd::Error => (Outcome::Failed, Over::Error, Err(Failure::RunError)),
+            RunEnd::Cancelled => (Outcome::Cancelled, Over::Stopped, Err(Failure::RunStopped)),
+            RunEnd::Unknown => (Outcome::Moot, Over::Unknown, Err(Failure::RunUnknown)),
         };
+        if calling {
+            self.note_of(id, |open| call_dropped(now, open));
+        }
+        self.note_of(id, |_| Kind::RunOver { end, ran_ms });
         match &result {
-            TryResult::Done(bytes) => self.answer(id, Reply::Served(bytes.clone())),
-            _ => self.answer(id, Reply::Failed { late: false }),
+            Ok(bytes) => self.answer(id, Reply::Served(bytes.clone()), false),
+            Err(why) => self.answer(id, Reply::Failed { late: false, why: *why }, false),
         }
         self.tell(now, Event::Finished { id, outcome });
         let key = self.requests.get(id).and_then(|open| open.key.clone());
         self.forget_request(id);
         if let Some(key) = key {
-            self.key_ended(&key, id, outcome, result);
+            self.key_ended(&key, id, outcome, result.map_or(TryResult::Failed, TryResult::Done));
         }
     }
 
@@ -414,6 +484,7 @@
         // Proved not to have run, it leaves nothing: the next try is a first one.
         if self.keys.keep(key, result, outcome == Outcome::Moot) {
             count(&self.parts.counters.results_dropped);
+            self.turn(Turn::Reached(Limit::Results));
         }
     }
 
@@ -424,11 +495,11 @@
         let outcome = match result {
             TryResult::Done(bytes) => {
                 count(&self.parts.counters.reused);
-                self.answer(id, Reply::Served(bytes.clone()));
+                self.answer(id, Reply::Served(bytes.clone()), true);
                 Outcome::Done
             }
             _ => {
-                self.answer(id, Reply::Failed { late: false });
+                self.answer(id, Reply::Failed { late: false, why: Failure::RepeatFailed }, true);
                 Outcome::Failed
             }
         };
@@ -441,6 +512,15 @@
         let Some(id) = self.requests.by_rid(rid) else { return };
         let Some(open) = self.requests.in_phase(id, Phase::Calling) else { return };
         let took_ms = now - open.called_ms;
+        let end = match outcome {
+            Outcome::Done => CallEnd::Done,
+            Outcome::Declined => CallEnd::Declined,
+            Outcome::TimedOut => CallEnd::TimedOut,
+            Outcome::Unreachable => CallEnd::Unreachable,
+            Outcome::Reset => CallEnd::Reset,
+            Outcome::Failed | Outcome::Cancelled | Outcome::Moot => CallEnd::Failed,
+        };
+        let class = open.class;
         match (outcome, reply) {
             (Outcome::Done, Some(reply)) => {
                 count(&self.parts.counters.calls_done);
@@ -451,6 +531,7 @@
                 open.phase = Phase::AtCall;
             }
         }
+        self.note(id, class, Kind::CallOver { end, called_ms: took_ms });
         self.tell(now, Event::CallEnded { id, outcome, took_ms });
     }
 
@@ -475,6 +556,7 @@
         self.parts.status.healthy.set(false);
         self.parts.status.listed.set(Some(false));
         self.parts.status.report.wake();
+        self.turn(Turn::Leaving { kill_ms: now + self.parts.stop_ms });
         self.tell(now, Event::Leave { kill_ms: now + self.parts.stop_ms });
     }
 
@@ -543,7 +625,8 @@
         let late = owed.filter(|(_, open)| now >= kill || now >= open.due_ms + slack);
         for id in late.map(|(id, _)| id).collect::<Vec<_>>() {
             count(&self.parts.counters.overdue);
-            self.answer(id, Reply::Failed { late: true });
+            let why = if now >= kill { Failure::Stop } else { Failure::Overdue };
+            self.answer(id, Reply::Failed { late: true, why }, false);
             let phase = self.requests.get(id).map(|open| open.phase);
             self.tell(now, Event::CallerGone { id });
             match phase {
@@ -571,6 +654,7 @@
 
     /// Ends an instant: due timers, one settlement, and everything the module wants done.
     pub fn settle(&mut self, now: f64) {
+        self.now_ms = now;
         self.run_timers(now);
         self.instant_keys.clear();
         loop {
@@ -588,14 +672,16 @@
 
     fn carry_out(&mut self, now: f64, action: Action) {
         match action {
-            Action::Start { id } => self.start(id),
-            Action::Refuse { id, pause_ms, last } => {
-                self.answer(id, Reply::Refused { backoff_ms: pause_ms, last });
+            Action::Start { id } => self.start(now, id),
+            Action::Refuse { id, pause_ms, last, why } => {
+                self.note_of(id, |_| Kind::Decided(Decision::Refuse(why)));
+                self.answer(id, Reply::Refused { backoff_ms: pause_ms, last, why }, false);
                 self.drop_unrun(id);
             }
-            Action::Fail { id } => {
+            Action::Fail { id, why } => {
                 let late = self.requests.get(id).is_some_and(|open| now + WATCH_MS >= open.due_ms);
-                self.answer(id, Reply::Failed { late });
+                self.note_of(id, |_| Kind::Decided(Decision::Fail(why)));
+                self.answer(id, Reply::Failed { late, why }, false);
                 self.drop_unrun(id);
                 self.end_at_call(id);
             }
@@ -614,10 +700,13 @@
                     open.called_ms = now;
                     let once = self.parts.site.settings.classes[open.class].effect != Effect::Read;
                     self.parts.store.clone().call(&open.rid, patience_ms, &open.need.1, once);
+                    self.note_of(id, |_| Kind::CallMade);
                 }
             }
             Action::Skip { id } => {
-                if self.requests.in_phase(id, Phase::AtCall).is_some() {
+                if let Some(open) = self.requests.in_phase(id, Phase::AtCall) {
+                    open.poorer = true;
+                    self.note_of(id, |_| Kind::CallLeftOut);
                     count(&self.parts.counters.calls_left_out);
                     self.go_on(id, Feed::Nothing);
                 }
@@ -643,7 +732,7 @@
         }
     }
 
-    fn start(&mut self, id: u32) {
+    fn start(&mut self, now: f64, id: u32) {
         let Some(open) = self.requests.in_phase(id, Phase::Held) else { return };
         let class = &self.parts.site.settings.classes[open.class];
         if let (Effect::Keyed, Some(key)) = (class.effect, &open.key) {
@@ -651,18 +740,21 @@
             let start = Start { id, digest: open.digest, t0: open.t0, until };
             if self.keys.start(key, start).is_err() {
                 count(&self.parts.counters.doubles_prevented);
-                self.answer(id, Reply::Failed { late: false });
+                self.answer(id, Reply::Failed { late: false, why: Failure::AlreadyRan }, false);
                 self.forget_request(id);
                 self.follow_up.push_back(Event::Finished { id, outcome: Outcome::Moot });
                 return;
             }
         }
         open.phase = Phase::Running;
+        open.began_ms = now;
         open.commanded = self.asks;
         count(&self.parts.counters.runs);
         if self.engine_up && self.barrier.is_none() {
             self.parts.engine.run(&open.rid, class_name(&self.parts.site, open.class), &open.body);
         }
+        self.note_of(id, |_| Kind::Decided(Decision::Run));
+        self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
     }
 
     fn remember(&mut self, now: f64, id: u32, for_ms: f64) {
@@ -675,17 +767,21 @@
         let Some(open) = self.requests.in_phase(id, Phase::Held) else { return };
         open.phase = Phase::Waiting;
         let (key, first) = (open.key.clone(), open.repeats);
+        self.note_of(id, |_| Kind::Decided(Decision::Reuse));
         let under_way = first.is_some_and(|first| self.requests.get(first).is_some());
         if let Joined::Over(result) = self.keys.join(key.as_ref(), id, under_way) {
             self.answer_repeat(id, &result);
         }
     }
 
-    /// Gives the one answer, if it is still owed.
-    fn answer(&mut self, id: u32, reply: Reply) {
+    /// Gives the one answer, if it is still owed; `reused` if it was made for another try.
+    fn answer(&mut self, id: u32, reply: Reply, reused: bool) {
         let Some(caller) = self.requests.release(id) else { return };
-        let Some(ticket) = self.requests.get(id).map(|open| open.ticket) else { return };
+        let Some(open) = self.requests.get(id) else { return };
+        let ticket = open.ticket;
         self.count_answer(&reply);
+        let took_ms = self.now_ms - open.t0;
+        self.note(id, open.class, answer_kind(&reply, reused, open.poorer, open.hint_ms, took_ms));
         caller.answer(ticket, &reply);
     }
 
@@ -699,9 +795,11 @@
     /// Ends a run that stands at a call and whose request is over; the engine says when it has ended.
     fn end_at_call(&mut self, id: u32) {
         let Some(open) = self.requests.get_mut(id) else { return };
+        let mut dropped = None;
         if open.phase == Phase::Calling {
             self.parts.store.drop_call(&open.rid);
             open.phase = Phase::AtCall;
+            dropped = Some((open.class, call_dropped(self.now_ms, open)));
         }
         let may_halt = self.parts.site.settings.halting != Halting::Never;
         if open.phase == Phase::AtCall && !open.halted && may_halt {
@@ -709,6 +807,9 @@
             open.commanded = self.asks;
             self.parts.engine.halt(&open.rid);
         }
+        if let Some((class, kind)) = dropped {
+            self.note(id, class, kind);
+        }
     }
 
     fn forget_request(&mut self, id: u32) {
@@ -719,6 +820,25 @@
     }
 }
 
+fn read_kind(now: f64, arrival: &Arrival) -> Kind {
+    let (front, again, hint_ms) = (arrival.front, arrival.again, arrival.est_ms);
+    Kind::Read { front, again, hint_ms, unread_ms: (now - arrival.t0).max(0.0) }
+}
+
+fn answer_kind(reply: &Reply, reused: bool, poorer: bool, hint_ms: Option<f64>, took_ms: f64) -> Kind {
+    let answer = match reply {
+        Reply::Failed { late: true, why } => return Kind::Expired { why: *why, took_ms },
+        Reply::Served(_) => Answer::Served { reused, poorer },
+        Reply::Refused { why, .. } => Answer::Refused(*why),
+        Reply::Failed { why, .. } => Answer::Failed(*why),
+    };
+    Kind::Answered { answer, hint_ms, took_ms }
+}
+
+fn call_dropped(now: f64, open: &Open) -> Kind {
+    Kind::CallOver { end: CallEnd::Dropped, called_ms: now - open.called_ms }
+}
+
 /// Writes what a run goes on with; tells whether there is a link that it goes to.
 fn feed_to(open: &Open, engine: &dyn Engine) -> bool {
     match &open.feed {
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -3,7 +3,9 @@
 
 use std::rc::Rc;
 
-use crate::Outcome;
+use pinepoint_facts::Front;
+
+use crate::{Failure, Outcome, Refusal};
 
 /// One end of a connection on which requests came. The core answers through it and never waits for it.
 pub trait Caller {
@@ -50,11 +52,15 @@
         backoff_ms: f64,
         /// Ask for no further try.
         last: bool,
+        /// Why.
+        why: Refusal,
     },
     /// It failed; nothing is promised. `late` if there was no time left.
     Failed {
         /// It was out of time.
         late: bool,
+        /// Why.
+        why: Failure,
     },
 }
 
@@ -62,6 +68,8 @@
 pub struct Arrival {
     /// Where the answer goes.
     pub caller: Rc<dyn Caller>,
+    /// The front that read it.
+    pub front: Front,
     /// The caller's own name for it, not in use.
     pub ticket: u64,
     /// The name that engine and store know it by, new with every try.
@@ -130,4 +138,6 @@
     CallEnded(String, Outcome, Option<Vec<u8>>),
     /// The notice to leave.
     Leave,
+    /// A question for the state, which the observer is told.
+    Look,
 }
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -45,6 +45,14 @@
     pub class: usize,
     /// When it reached the machine, ms.
     pub t0: f64,
+    /// When it was read, ms.
+    pub read_ms: f64,
+    /// When its run was begun, ms.
+    pub began_ms: f64,
+    /// Work hint, ms.
+    pub hint_ms: Option<f64>,
+    /// Its run went on without a call.
+    pub poorer: bool,
     /// When its caller stops waiting, ms.
     pub due_ms: f64,
     /// Its key, or the subject that reads share.
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -407,7 +407,7 @@
                     write_fields(out, &fields);
                 });
             }
-            Reply::Refused { backoff_ms, last } => {
+            Reply::Refused { backoff_ms, last, .. } => {
                 let mut more = Vec::new();
                 if *backoff_ms > 0.0 {
                     more.push(("backoff", format!("{:.0}", backoff_ms.ceil())));
@@ -540,6 +540,7 @@
                     connection.guest.busy.set(true);
                     let arrival = Arrival {
                         caller: connection.clone(),
+                        front: pinepoint_facts::Front::Rpc,
                         ticket: id,
                         rid: fields.rid,
                         class: fields.class,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -105,5 +105,5 @@
 }
 
 pub fn failed(actions: &[Action], id: u32) -> bool {
-    actions.contains(&Action::Fail { id })
+    actions.iter().any(|a| matches!(a, Action::Fail { id: i, .. } if *i == id))
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -604,7 +604,7 @@
         bench.arrive(Request { queued_ms: 2995.0, ..request(id, 0) });
     }
     let refusals = bench.log.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
-    let is_reason = |a: &&Action| matches!(a, Action::Note { text } if text.contains("too late"));
+    let is_reason = |a: &&Action| matches!(a, Action::Note { text } if text.contains("too-late"));
     assert!(refusals >= 100, "dead on arrival, nearly all: {refusals}");
     assert_eq!(bench.log.iter().filter(is_reason).count(), refusals / 50);
 }
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -73,7 +73,7 @@
                     entry.starts += 1;
                     entry.running = true;
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     let entry = self.known.get_mut(&id).expect("only requests that arrived are answered");
                     let refusal = matches!(action, Action::Refuse { .. });
                     assert!(!refusal || entry.starts == 0, "request {id} ran and was turned away");
