Add the lab's machine, load tool and telemetry experiment, and tests for each way a receiver fails

Need: the kit's benches know no receivers; whether a stalled one slows requests, and whether sums come out, has to be measured with the program in the middle.

Change: pinepoint-lab has an engine whose cores runs share in simulated time, a store, an open-loop load tool for both fronts (rand_distr, rmpv), the program as a process on a core of its own, and `pinepoint-lab telemetry`, which runs all ways in turns. The simulation knows receivers that clog and that do not even refuse, and receipts that come by themselves. Tests at real connections hold that only what a process has read is taken. One of the new tests found a fault: of a connection that closed early what had been taken before was neither credited nor sent again.

--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -6,3 +6,7 @@
 
 pub mod collectd;
 pub mod graphite;
+pub mod load;
+pub mod machine;
+pub mod process;
+pub mod telemetry;
--- /dev/null
+++ b/crates/pinepoint-lab/src/load.rs
@@ -0,0 +1,395 @@
+//! A load tool: requests at random times, whatever becomes of those before them (an open loop), over MessagePack-RPC and
+//! AJP at once. It counts for itself what became of each, by class and outcome, and how long each took.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64Mcg;
+use rmpv::Value;
+
+/// Requests that may be open on one MessagePack-RPC connection.
+const OPEN_MOST: usize = 32;
+/// Answers that come later than this after the last request do not come, ms.
+const LAST_MS: u64 = 12_000;
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// Its share of all.
+    pub share: f64,
+    /// Mean work, ms on one core.
+    pub work_ms: f64,
+    /// It needs a key.
+    pub keyed: bool,
+    /// It makes a call.
+    pub calls: bool,
+}
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Classes.
+    pub classes: Vec<Class>,
+    /// Requests a second.
+    pub rate: f64,
+    /// Of these, the share that comes by AJP.
+    pub ajp: f64,
+    /// For how long.
+    pub length: Duration,
+    /// Connections of MessagePack-RPC, and of AJP at the most.
+    pub connections: (usize, usize),
+    /// Spread of the work around its mean (the standard deviation of its logarithm).
+    pub spread: f64,
+    /// Times and work follow from it.
+    pub seed: u64,
+}
+
+/// What became of the requests of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// Sent.
+    pub sent: u64,
+    /// Answered with a result.
+    pub served: u64,
+    /// Turned away.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Not answered.
+    pub unanswered: u64,
+}
+
+/// What the load tool saw.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// By class.
+    pub ends: BTreeMap<&'static str, Ends>,
+    /// Time from the sending to the answer of what was served, us.
+    pub latency: Histogram<u64>,
+    /// Requests that found no AJP connection free, and were not sent.
+    pub no_room: u64,
+    /// Answers beyond the first to one request.
+    pub doubles: u64,
+}
+
+impl Seen {
+    /// All classes together.
+    pub fn all(&self) -> Ends {
+        self.ends.values().fold(Ends::default(), |sum, ends| Ends {
+            sent: sum.sent + ends.sent,
+            served: sum.served + ends.served,
+            refused: sum.refused + ends.refused,
+            failed: sum.failed + ends.failed,
+            unanswered: sum.unanswered + ends.unanswered,
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Served,
+    Refused,
+    Failed,
+}
+
+struct Book {
+    seen: RefCell<Seen>,
+    open: Cell<u64>,
+}
+
+impl Book {
+    fn sent(&self, class: &'static str) {
+        self.seen.borrow_mut().ends.entry(class).or_default().sent += 1;
+        self.open.set(self.open.get() + 1);
+    }
+
+    fn ended(&self, class: &'static str, end: End, since: Instant) {
+        self.open.set(self.open.get() - 1);
+        let mut seen = self.seen.borrow_mut();
+        let ends = seen.ends.entry(class).or_default();
+        match end {
+            End::Served => ends.served += 1,
+            End::Refused => ends.refused += 1,
+            End::Failed => ends.failed += 1,
+        }
+        if end == End::Served {
+            seen.latency.saturating_record(since.elapsed().as_micros() as u64);
+        }
+    }
+}
+
+/// One request as it is planned.
+#[derive(Clone, Debug)]
+struct Request {
+    class: &'static str,
+    work_ms: f64,
+    token: Option<String>,
+    body: String,
+    rid: u64,
+}
+
+/// Sends what the plan says to a comparer that listens at these addresses, and waits for the answers.
+pub async fn run(
+    plan: &Plan,
+    rpc: SocketAddr,
+    ajp: Option<SocketAddr>,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> io::Result<Seen> {
+    let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are sound");
+    let seen = Seen { ends: BTreeMap::new(), latency, no_room: 0, doubles: 0 };
+    let book = Rc::new(Book { seen: RefCell::new(seen), open: Cell::new(0) });
+    let mut routers = Vec::new();
+    for _ in 0..plan.connections.0 {
+        routers.push(Router::connect(rpc, book.clone(), executor).await?);
+    }
+    let portal = Portal { ajp, idle: Rc::default(), all: Cell::new(0), most: plan.connections.1 };
+    let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
+    let gaps = Exp::new(plan.rate).map_err(io::Error::other)?;
+    let began = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut number = 0_u64;
+    let mut turn = 0;
+    loop {
+        at += Duration::from_secs_f64(gaps.sample(&mut random));
+        if at > plan.length {
+            break;
+        }
+        number += 1;
+        let request = draw(plan, number, &mut random)?;
+        let by_ajp = ajp.is_some() && random.random::<f64>() < plan.ajp;
+        Timer::at(began + at).await;
+        if by_ajp {
+            portal.send(request, &book, executor).await;
+        } else {
+            // The next connection with room; where none has, requests would wait at the router, not here.
+            let free =
+                (0..routers.len()).map(|n| (turn + n) % routers.len()).find(|n| routers[*n].has_room());
+            turn += 1;
+            match free {
+                Some(n) => routers[n].send(&request).await?,
+                None => book.seen.borrow_mut().no_room += 1,
+            }
+        }
+    }
+    let until = Instant::now() + Duration::from_millis(LAST_MS);
+    while book.open.get() > 0 && Instant::now() < until {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    let mut seen = book.seen.borrow().clone();
+    for ends in seen.ends.values_mut() {
+        ends.unanswered = ends.sent - ends.served - ends.refused - ends.failed;
+    }
+    Ok(seen)
+}
+
+fn draw(plan: &Plan, number: u64, random: &mut Pcg64Mcg) -> io::Result<Request> {
+    let mut share = random.random::<f64>() * plan.classes.iter().map(|class| class.share).sum::<f64>();
+    let class = plan.classes.iter().find(|class| {
+        share -= class.share;
+        share <= 0.0
+    });
+    let class = class.or(plan.classes.last()).ok_or_else(|| io::Error::other("a plan without classes"))?;
+    let mu = class.work_ms.ln() - plan.spread * plan.spread / 2.0;
+    let work_ms = LogNormal::new(mu, plan.spread).map_err(io::Error::other)?.sample(random).max(0.05);
+    let token = class.keyed.then(|| format!("k{}-{number}", plan.seed));
+    let body = format!("{work_ms:.3} {} n{number}", u8::from(class.calls));
+    Ok(Request { class: class.name, work_ms, token, body, rid: plan.seed << 32 | number })
+}
+
+// ---- MessagePack-RPC ----
+
+type OpenRequests = Rc<RefCell<HashMap<u64, (&'static str, Instant)>>>;
+
+struct Router {
+    stream: Rc<Async<TcpStream>>,
+    open: OpenRequests,
+    last: Cell<u64>,
+    book: Rc<Book>,
+}
+
+impl Router {
+    async fn connect(
+        at: SocketAddr,
+        book: Rc<Book>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> io::Result<Router> {
+        let stream = Rc::new(Async::<TcpStream>::connect(at).await?);
+        stream.get_ref().set_nodelay(true)?;
+        let open = OpenRequests::default();
+        let (reader, waiting, kept) = (stream.clone(), open.clone(), book.clone());
+        executor.spawn(async move { read_answers(&reader, &waiting, &kept).await }).detach();
+        Ok(Router { stream, open, last: Cell::new(0), book })
+    }
+
+    fn has_room(&self) -> bool {
+        self.open.borrow().len() < OPEN_MOST
+    }
+
+    async fn send(&self, request: &Request) -> io::Result<()> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
+        let mut fields = vec![
+            ("rid", format!("{:016x}", request.rid)),
+            ("t0", now.as_millis().to_string()),
+            ("est", format!("{:.3}", request.work_ms)),
+            ("mem", "40".to_owned()),
+        ];
+        fields.extend(request.token.clone().map(|token| ("token", token)));
+        let fields =
+            fields.into_iter().map(|(name, value)| (Value::from(name), Value::from(value))).collect();
+        let body = Value::Binary(request.body.clone().into_bytes());
+        let message = Value::Array(vec![
+            0.into(),
+            id.into(),
+            request.class.into(),
+            Value::Array(vec![Value::Map(fields), body]),
+        ]);
+        let mut bytes = Vec::new();
+        rmpv::encode::write_value(&mut bytes, &message).map_err(io::Error::other)?;
+        self.open.borrow_mut().insert(id, (request.class, Instant::now()));
+        self.book.sent(request.class);
+        (&*self.stream).write_all(&bytes).await
+    }
+}
+
+async fn read_answers(mut stream: &Async<TcpStream>, open: &OpenRequests, book: &Book) {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 16 * 1024]);
+    loop {
+        match stream.read(&mut chunk).await {
+            Ok(n) if n > 0 => input.extend_from_slice(&chunk[..n]),
+            _ => return,
+        }
+        loop {
+            let mut rest = input.as_slice();
+            let Ok(message) = rmpv::decode::read_value(&mut rest) else { break };
+            let used = input.len() - rest.len();
+            input.drain(..used);
+            let Some([kind, id, error, _]) = message.as_array().map(Vec::as_slice) else { continue };
+            if kind.as_u64() != Some(1) {
+                continue;
+            }
+            let Some((class, since)) = id.as_u64().and_then(|id| open.borrow_mut().remove(&id)) else {
+                book.seen.borrow_mut().doubles += 1;
+                continue;
+            };
+            let name = error.as_array().and_then(|error| error.first()?.as_str());
+            let end = match name {
+                None => End::Served,
+                Some("Busy") => End::Refused,
+                Some(_) => End::Failed,
+            };
+            book.ended(class, end, since);
+        }
+    }
+}
+
+// ---- AJP ----
+
+struct Portal {
+    ajp: Option<SocketAddr>,
+    idle: Rc<RefCell<Vec<Rc<Async<TcpStream>>>>>,
+    all: Cell<usize>,
+    most: usize,
+}
+
+impl Portal {
+    async fn send(&self, request: Request, book: &Rc<Book>, executor: &Rc<LocalExecutor<'static>>) {
+        let Some(address) = self.ajp else { return };
+        let used = self.idle.borrow_mut().pop();
+        let stream = match used {
+            Some(stream) => stream,
+            None if self.all.get() < self.most => {
+                let Ok(stream) = Async::<TcpStream>::connect(address).await else { return };
+                let _ = stream.get_ref().set_nodelay(true);
+                self.all.set(self.all.get() + 1);
+                Rc::new(stream)
+            }
+            None => return book.seen.borrow_mut().no_room += 1,
+        };
+        let (book, idle) = (book.clone(), self.idle.clone());
+        book.sent(request.class);
+        let exchange = async move {
+            let since = Instant::now();
+            if let Ok(end) = ajp_exchange(&stream, &request).await {
+                book.ended(request.class, end, since);
+                idle.borrow_mut().push(stream);
+            }
+        };
+        executor.spawn(exchange).detach();
+    }
+}
+
+fn ajp_text(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(&(text.len() as u16).to_be_bytes());
+    out.extend_from_slice(text.as_bytes());
+    out.push(0);
+}
+
+fn ajp_packet(payload: &[u8]) -> Vec<u8> {
+    [&[0x12, 0x34], &(payload.len() as u16).to_be_bytes()[..], payload].concat()
+}
+
+/// One request over AJP13, up to the end of its answer ("The Apache Tomcat Connectors - AJP Protocol Reference").
+async fn ajp_exchange(mut stream: &Async<TcpStream>, request: &Request) -> io::Result<End> {
+    let mut headers = vec![("est", format!("{:.3}", request.work_ms)), ("mem", "40".to_owned())];
+    headers.extend(request.token.clone().map(|token| ("token", token)));
+    let mut out = vec![2, 4];
+    for text in ["HTTP/1.1", &format!("/{}", request.class), "127.0.0.1", "", "portal"] {
+        ajp_text(&mut out, text);
+    }
+    out.extend_from_slice(&[0x1f, 0x90, 0]);
+    out.extend_from_slice(&(headers.len() as u16 + 1).to_be_bytes());
+    out.extend_from_slice(&[0xa0, 8]);
+    ajp_text(&mut out, &request.body.len().to_string());
+    for (name, value) in &headers {
+        ajp_text(&mut out, name);
+        ajp_text(&mut out, value);
+    }
+    out.push(0xff);
+    let mut bytes = ajp_packet(&out);
+    let data = [&(request.body.len() as u16).to_be_bytes(), request.body.as_bytes()].concat();
+    bytes.extend(ajp_packet(&data));
+    stream.write_all(&bytes).await?;
+    let mut end = End::Failed;
+    loop {
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).await?;
+        let mut payload = vec![0; usize::from(u16::from_be_bytes([head[2], head[3]]))];
+        stream.read_exact(&mut payload).await?;
+        match payload.as_slice() {
+            [4, high, low, ..] => {
+                end = match u16::from_be_bytes([*high, *low]) {
+                    200 => End::Served,
+                    503 => End::Refused,
+                    _ => End::Failed,
+                }
+            }
+            [5, reuse] => {
+                return if *reuse == 1 { Ok(end) } else { Err(io::ErrorKind::ConnectionAborted.into()) };
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Waits for something, or gives up.
+pub async fn within<T>(limit: Duration, what: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(async { Some(what.await) }, late).await
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/machine.rs
@@ -0,0 +1,247 @@
+//! The machine below a comparer: an engine whose cores are shared by all that runs, the store, and the membership
+//! service, over the platform's line protocol. Work is simulated by time alone: it takes none of this machine's cores.
+//! A body tells its own work: `WORK_MS CALLS` in words, and anything behind them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+
+/// What the machine is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Cores that runs share.
+    pub cores: f64,
+    /// Time of a call to the store.
+    pub call: Duration,
+}
+
+/// Where its services are.
+#[derive(Clone, Copy, Debug)]
+pub struct Places {
+    /// The engine.
+    pub engine: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// The membership service.
+    pub members: SocketAddr,
+}
+
+struct Run {
+    rid: String,
+    body: Vec<u8>,
+    left_ms: f64,
+    /// Work left at which it stands before a call.
+    call_at_ms: Option<f64>,
+    waits: bool,
+}
+
+struct Engine {
+    cores: f64,
+    runs: Vec<Run>,
+    told: Instant,
+    notice: u64,
+    busy: f64,
+    out: Vec<u8>,
+    seen: HashMap<String, u32>,
+}
+
+impl Engine {
+    /// What each run on the cores gets of one.
+    fn share(&self) -> f64 {
+        let running = self.runs.iter().filter(|run| !run.waits).count() as f64;
+        (self.cores / running.max(1.0)).min(1.0)
+    }
+
+    fn pass(&mut self) {
+        let (share, ms) = (self.share(), self.told.elapsed().as_secs_f64() * 1000.0);
+        self.told = Instant::now();
+        let running = self.runs.iter().filter(|run| !run.waits).count() as f64;
+        let weight = (ms / 100.0).min(1.0);
+        self.busy += ((running / self.cores).min(1.0) - self.busy) * weight;
+        let mut ended = Vec::new();
+        for run in self.runs.iter_mut().filter(|run| !run.waits) {
+            run.left_ms -= ms * share;
+            if run.call_at_ms.is_some_and(|at| run.left_ms <= at) {
+                run.call_at_ms = None;
+                run.waits = true;
+                self.notice += 1;
+                let head = format!("NEED {} {} {}\r\n", self.notice, run.rid, run.body.len());
+                self.out.extend_from_slice(head.as_bytes());
+                self.out.extend_from_slice(&run.body);
+                self.out.extend_from_slice(b"\r\n");
+            } else if run.left_ms <= 1e-6 {
+                ended.push(run.rid.clone());
+            }
+        }
+        ended.iter().for_each(|rid| self.end(rid, "complete", b"result"));
+    }
+
+    fn end(&mut self, rid: &str, how: &str, result: &[u8]) {
+        let before = self.runs.len();
+        self.runs.retain(|run| run.rid != rid);
+        if self.runs.len() < before {
+            self.notice += 1;
+            let head = format!("DONE {} {rid} {how} 1 {}\r\n", self.notice, result.len());
+            self.out.extend_from_slice(head.as_bytes());
+            self.out.extend_from_slice(result);
+            self.out.extend_from_slice(b"\r\n");
+        }
+    }
+
+    fn next(&self) -> Option<Duration> {
+        let share = self.share();
+        let runs = self.runs.iter().filter(|run| !run.waits);
+        let ms =
+            runs.map(|run| (run.left_ms - run.call_at_ms.unwrap_or(0.0)) / share).min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(ms.max(0.02) / 1000.0))
+    }
+
+    fn command(&mut self, words: &[&str], body: Vec<u8>) {
+        match words {
+            ["ATTACH", _] => self.out.extend_from_slice(b"HELLO hot 60000\r\n"),
+            ["RUN", rid, ..] => {
+                *self.seen.entry(String::from_utf8_lossy(&body).into_owned()).or_default() += 1;
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let mut told = text.split(' ').map(|word| word.parse::<f64>().unwrap_or(1.0));
+                let (work, calls) = (told.next().unwrap_or(1.0), told.next().unwrap_or(0.0));
+                let call_at_ms = (calls > 0.0).then_some(work / 2.0);
+                self.runs.push(Run { rid: (*rid).to_owned(), body, left_ms: work, call_at_ms, waits: false });
+            }
+            ["HALT", rid] => self.end(rid, "cancelled", b""),
+            ["FEED", rid, ..] | ["SKIP", rid, ..] => {
+                self.runs.iter_mut().filter(|run| run.rid == *rid).for_each(|run| run.waits = false);
+            }
+            ["STAT", tag] => {
+                let running = self.runs.iter().filter(|run| !run.waits).count();
+                let line = format!("STATS {tag} {:.3} {running} 0.1 3\r\n", self.busy);
+                self.out.extend_from_slice(line.as_bytes());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Takes a whole line off the front, with its body if its form has one.
+fn line(input: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
+    let end = input.windows(2).position(|two| two == b"\r\n")?;
+    let text = String::from_utf8_lossy(&input[..end]).into_owned();
+    let has_body = ["RUN ", "FEED ", "CALL "].iter().any(|head| text.starts_with(head));
+    let length = if has_body { text.rsplit(' ').next()?.parse::<usize>().ok()? + 2 } else { 0 };
+    let body = input.get(end + 2..end + 2 + length)?.to_vec();
+    input.drain(..end + 2 + length);
+    Some((text, body.strip_suffix(b"\r\n").unwrap_or(&body).to_vec()))
+}
+
+async fn serve_engine(mut stream: &Async<TcpStream>, engine: &RefCell<Engine>) -> io::Result<()> {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 16 * 1024]);
+    loop {
+        let next = engine.borrow().next();
+        let due = async {
+            match next {
+                Some(pause) => Timer::after(pause).await,
+                None => future::pending().await,
+            };
+            Ok(None)
+        };
+        let read = future::or(async { stream.read(&mut chunk).await.map(Some) }, due).await?;
+        engine.borrow_mut().pass();
+        match read {
+            Some(0) => return Ok(()),
+            Some(n) => input.extend_from_slice(&chunk[..n]),
+            None => {}
+        }
+        while let Some((text, body)) = line(&mut input) {
+            engine.borrow_mut().command(&text.split(' ').collect::<Vec<_>>(), body);
+        }
+        let out = std::mem::take(&mut engine.borrow_mut().out);
+        if !out.is_empty() {
+            stream.write_all(&out).await?;
+        }
+    }
+}
+
+async fn serve_store(mut stream: &Async<TcpStream>, call: Duration) -> io::Result<()> {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 4096]);
+    loop {
+        let n = stream.read(&mut chunk).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        input.extend_from_slice(&chunk[..n]);
+        while let Some((text, _)) = line(&mut input) {
+            if let ["CALL", rid, ..] = text.split(' ').collect::<Vec<_>>().as_slice() {
+                Timer::after(call).await;
+                stream.write_all(format!("{rid} OK 2\r\nok\r\n").as_bytes()).await?;
+            }
+        }
+    }
+}
+
+impl Machine {
+    /// Starts the three services on this executor. `runs` counts how often each body was run.
+    pub fn start(self, executor: &Rc<LocalExecutor<'static>>) -> io::Result<(Places, Runs)> {
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let (engine, store) = (Async::<TcpListener>::bind(any)?, Async::<TcpListener>::bind(any)?);
+        let members = Async::<UdpSocket>::bind(any)?;
+        let places = Places {
+            engine: engine.get_ref().local_addr()?,
+            store: store.get_ref().local_addr()?,
+            members: members.get_ref().local_addr()?,
+        };
+        let state = Rc::new(RefCell::new(Engine {
+            cores: self.cores,
+            runs: Vec::new(),
+            told: Instant::now(),
+            notice: 0,
+            busy: 0.0,
+            out: Vec::new(),
+            seen: HashMap::new(),
+        }));
+        let runs = Runs(state.clone());
+        let (of_engine, of_store) = (executor.clone(), executor.clone());
+        let accept = async move {
+            while let Ok((stream, _)) = engine.accept().await {
+                let _ = stream.get_ref().set_nodelay(true);
+                {
+                    // Each comparer starts with numbers of its own, and the engine without its runs.
+                    let mut engine = state.borrow_mut();
+                    engine.runs.clear();
+                    engine.notice = 0;
+                }
+                let state = state.clone();
+                of_engine.spawn(async move { serve_engine(&stream, &state).await }).detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        let accept = async move {
+            while let Ok((stream, _)) = store.accept().await {
+                let _ = stream.get_ref().set_nodelay(true);
+                of_store.spawn(async move { serve_store(&stream, self.call).await }).detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        let listen = async move {
+            let mut report = [0; 256];
+            while members.recv(&mut report).await.is_ok() {}
+        };
+        executor.spawn(listen).detach();
+        Ok((places, runs))
+    }
+}
+
+/// What was run.
+pub struct Runs(Rc<RefCell<Engine>>);
+
+impl Runs {
+    /// How often each body was run, since the start.
+    pub fn seen(&self) -> HashMap<String, u32> {
+        self.0.borrow().seen.clone()
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/main.rs
@@ -0,0 +1,89 @@
+//! The laboratory's command line. It owns how experiments are asked for and told; it must never measure by itself.
+#![forbid(unsafe_code)]
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use pinepoint_lab::{process, telemetry};
+
+/// Experiments on pinepoint with stand-ins that fail on command; loopback addresses only
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Latency, cost and sums with telemetry off and with receivers that fail, in turns
+    Telemetry {
+        /// The program
+        #[arg(long, default_value = "target/release/pinepoint")]
+        program: PathBuf,
+        /// It is the program of commit 23ce34e or before, whose edge file was another
+        #[arg(long)]
+        earlier: bool,
+        /// Length of the load of one run, s
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Turns
+        #[arg(long, default_value_t = 3)]
+        turns: u64,
+        /// Requests a second as a part of what the engine can do
+        #[arg(long, default_value_t = 0.9)]
+        part: f64,
+        /// The core that the program has for itself
+        #[arg(long)]
+        cpu: Option<usize>,
+        /// Only these, with commas: off, good, stalled, dripping, down, restarting
+        #[arg(long, value_delimiter = ',')]
+        ways: Vec<String>,
+        /// Length of an interval of telemetry, s
+        #[arg(long, default_value_t = 1)]
+        every: u64,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let Command::Telemetry { program, earlier, seconds, turns, part, cpu, ways, every, json } =
+        Cli::parse().command;
+    let known = |name: &String| {
+        let way = telemetry::WAYS.into_iter().find(|way| format!("{way:?}").eq_ignore_ascii_case(name));
+        way.ok_or_else(|| format!("{name} is none of off, good, stalled, dripping, down, restarting"))
+    };
+    let ways = match ways.iter().map(known).collect::<Result<Vec<_>, _>>() {
+        Ok(ways) if ways.is_empty() => telemetry::WAYS.to_vec(),
+        Ok(ways) => ways,
+        Err(error) => {
+            eprintln!("pinepoint-lab: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let length = Duration::from_secs(seconds);
+    let options = telemetry::Options { program, earlier, length, turns, part, cpu, ways, every_s: every };
+    let measured = cpu.map_or(Ok(()), process::stay_off).and_then(|()| telemetry::measure(&options));
+    match measured {
+        Ok(outcomes) => {
+            let report = telemetry::report(&outcomes);
+            let text = if json { format!("{report:#}\n") } else { telemetry::table(&report) };
+            let _ = std::io::stdout().write_all(text.as_bytes());
+            let off = |row: &serde_json::Value| row["off"].as_array().is_some_and(|off| !off.is_empty());
+            let rows = report.as_array().into_iter().flatten();
+            for row in rows.filter(|row| off(row)) {
+                eprintln!("{}: {}", row["way"], row["off"]);
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("pinepoint-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-telemetry/benches/cost.rs
@@ -0,0 +1,178 @@
+//! What telemetry costs: a fact, a cut, the bytes of an interval in each protocol, the decisions of a delivery.
+
+use std::rc::Rc;
+
+use divan::{Bencher, black_box};
+use pinepoint_facts::{Answer, CallEnd, Decision, Fact, Front, Kind, RunEnd};
+use pinepoint_telemetry::accounts::{Accounts, Class};
+use pinepoint_telemetry::circuit;
+use pinepoint_telemetry::collectd::{Lists, Protection, Secret, Types};
+use pinepoint_telemetry::delivery::{Action, Delivery, Event, Receipts, Rules};
+use pinepoint_telemetry::graphite::{self, Form};
+use pinepoint_telemetry::names::Naming;
+use pinepoint_telemetry::ring::Ring;
+use pinepoint_telemetry::schema::Schema;
+use pinepoint_telemetry::snapshot::{Counting, Interval, Snapshot};
+use pinepoint_telemetry::spool::Bounds;
+
+fn main() {
+    divan::main();
+}
+
+fn schema() -> Rc<Schema> {
+    let names = ["quick-match", "report-view", "thesis-submit"].map(str::to_owned);
+    let node: Vec<&'static str> = (0..31).map(|n| &*format!("counter{n}").leak()).collect();
+    let module: Vec<&'static str> = (0..13).map(|n| &*format!("figure{n}").leak()).collect();
+    Rc::new(Schema::new(&names, &node, &module))
+}
+
+fn accounts() -> Accounts {
+    let class = Class { aim_ms: 900.0, aim_stretch: 0.0, worth: 1.0, late_worth: 0.2, worth_without: 0.3 };
+    Accounts::new(schema(), vec![class; 3], true)
+}
+
+/// The facts of a request that makes one call.
+fn life(n: u32) -> [Fact; 7] {
+    let ms = f64::from(n % 977);
+    let kinds = [
+        Kind::Read { front: Front::Rpc, again: false, hint_ms: Some(ms), unread_ms: 0.1 },
+        Kind::Decided(Decision::Run),
+        Kind::RunBegan { held_ms: ms },
+        Kind::CallMade,
+        Kind::CallOver { end: CallEnd::Done, called_ms: ms / 4.0 },
+        Kind::RunOver { end: RunEnd::Complete, ran_ms: ms * 2.0 },
+        Kind::Answered {
+            answer: Answer::Served { reused: false, poorer: false },
+            hint_ms: Some(ms),
+            took_ms: ms * 3.0,
+        },
+    ];
+    kinds.map(|kind| Fact { id: n, class: n as usize % 3, kind })
+}
+
+/// Seven facts, a request's whole life.
+#[divan::bench]
+fn facts_of_one_request(bencher: Bencher) {
+    let mut accounts = accounts();
+    let mut n = 0;
+    bencher.bench_local(|| {
+        n += 1;
+        life(n).iter().for_each(|fact| accounts.note(black_box(fact)));
+    });
+}
+
+fn busy() -> Accounts {
+    let mut accounts = accounts();
+    (0..3000).for_each(|n| life(n).iter().for_each(|fact| accounts.note(fact)));
+    accounts
+}
+
+/// A snapshot after 3,000 requests, the counting of which is not measured.
+#[divan::bench]
+fn cut_of_a_busy_interval(bencher: Bencher) {
+    bencher.with_inputs(busy).bench_local_values(|mut accounts| accounts.cut());
+}
+
+fn snapshot(slot_s: u64) -> Snapshot {
+    let (totals, dists) = busy().cut();
+    let gauges = vec![1.5; schema().gauges()].into();
+    Snapshot { slot_s, slots: 1, span_ms: (0.0, 10_000.0), totals, gauges, dists }
+}
+
+fn interval() -> Interval {
+    let before = vec![0.0; schema().counts()].into();
+    Interval { snapshot: snapshot(1_764_576_000), before }
+}
+
+#[divan::bench(args = [Form::Plaintext, Form::Pickle])]
+fn bytes_for_graphite(bencher: Bencher, form: &Form) {
+    let (schema, interval) = (schema(), interval());
+    let paths = Naming { prefix: "pinepoint".into(), host: "n1".into(), tags: false }.paths(&schema);
+    bencher.bench_local(|| {
+        let mut out = Vec::new();
+        graphite::write(&mut out, *form, &schema, &paths, &interval, Counting::Interval, 0..schema.points());
+        out
+    });
+}
+
+#[divan::bench(args = ["none", "signed", "encrypted"])]
+fn bytes_for_collectd(bencher: Bencher, name: &str) {
+    let secret = || Secret { user: "pine".into(), password: "point".into() };
+    let protection = match name {
+        "signed" => Protection::Signed(secret()),
+        "encrypted" => Protection::Encrypted(secret()),
+        _ => Protection::None,
+    };
+    let (schema, interval) = (schema(), interval());
+    let lists = Lists::new(&schema, "n1", 10_000.0, Types::Standard);
+    bencher.bench_local(|| {
+        let packets = lists.packets(&schema, &interval, 0..lists.len(), &protection);
+        packets.into_iter().map(|packet| protection.seal(packet, [7; 16])).collect::<Vec<_>>()
+    });
+}
+
+/// From an interval to its receipts, with so many receivers.
+#[divan::bench(args = [1, 3, 10])]
+fn decisions_for_an_interval(bencher: Bencher, receivers: usize) {
+    let rules = Rules {
+        spool: Bounds { bytes: 1 << 20, age_ms: 1e9, window: 16 },
+        circuit: circuit::Rules::default(),
+        receipts: Receipts::ByItself,
+        copies: 1,
+        receipt_ms: 60_000.0,
+        connect_wait_ms: 3000.0,
+        receipt_wait_ms: 15_000.0,
+        progress: (256, 5000.0),
+        lag_ms: 60_000.0,
+        pace_ms: 0.0,
+        spread_ms: 0.0,
+    };
+    let schema = schema();
+    let paths: Rc<[String]> =
+        Naming { prefix: "pinepoint".into(), host: "n1".into(), tags: false }.paths(&schema).into();
+    let names: Vec<String> = (0..receivers).map(|n| format!("10.0.0.{n}:2003")).collect();
+    let base = vec![0.0; schema.counts()].into();
+    let mut delivery = Delivery::new(rules, &names, paths, base, 1);
+    let (model, mut now) = (snapshot(0), 0.0);
+    bencher.bench_local(|| {
+        now += 10_000.0;
+        let (mut events, mut out) =
+            (vec![Event::Interval(Snapshot { slot_s: now as u64, ..model.clone() })], Vec::new());
+        while let Some(event) = events.pop() {
+            delivery.handle(now, event, &mut out);
+            for action in out.drain(..) {
+                match action {
+                    Action::Open { receiver, link } => events.push(Event::Opened { receiver, link }),
+                    Action::Send { receiver, link, send, .. } => {
+                        events.push(Event::Taken { receiver, link, upto: send, over: false });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        // What was held back for its spread.
+        delivery.handle(now + 1.0, Event::Time, &mut out);
+        for action in out.drain(..) {
+            if let Action::Send { receiver, link, send, .. } = action {
+                events.push(Event::Taken { receiver, link, upto: send, over: false });
+            }
+        }
+        events.drain(..).for_each(|event| delivery.handle(now + 1.0, event, &mut Vec::new()));
+    });
+    assert!(delivery.figures().backlog <= 1, "{:?}", delivery.figures());
+}
+
+/// A ring of ten, and the order of one path on it.
+#[divan::bench]
+fn ring_of_ten(bencher: Bencher) {
+    let names: Vec<String> = (0..10).map(|n| format!("10.0.0.{n}:2003")).collect();
+    bencher
+        .bench_local(|| Ring::new(names.iter().enumerate().map(|(slot, name)| (slot as u8, name.as_str()))));
+}
+
+#[divan::bench]
+fn preference_of_a_path(bencher: Bencher) {
+    let names: Vec<String> = (0..10).map(|n| format!("10.0.0.{n}:2003")).collect();
+    let ring = Ring::new(names.iter().enumerate().map(|(slot, name)| (slot as u8, name.as_str())));
+    bencher.bench_local(|| ring.preference(black_box("pinepoint.n1.class.report-view.total.p99_ms")));
+}
--- a/crates/pinepoint-telemetry/src/delivery.rs
+++ b/crates/pinepoint-telemetry/src/delivery.rs
@@ -404,19 +404,13 @@
 
     fn taken(&mut self, now: f64, at: u8, number: u64, upto: u64, over: bool, out: &mut Vec<Action>) {
         let Some(link) = self.link(at, number) else { return };
-        let probe = link.probe;
-        let taken: Vec<Sent> = {
-            let n = link.sent.iter().take_while(|sent| sent.send <= upto).count();
-            link.sent.drain(..n).collect()
-        };
+        let probe = std::mem::replace(&mut link.probe, false);
+        let n = link.sent.iter().take_while(|sent| sent.send <= upto).count();
+        let taken: Vec<Sent> = link.sent.drain(..n).collect();
+        let early = over && !link.sent.is_empty();
         if taken.is_empty() && !over {
             return;
         }
-        link.probe = false;
-        if over && !link.sent.is_empty() {
-            // It closed without having read all: what is left is in doubt.
-            return self.broke(now, at, Break::Closed, out);
-        }
         self.figures.receipts += 1;
         let bit = 1_u32 << at;
         for (number, points) in taken.into_iter().filter_map(|sent| sent.points) {
@@ -426,6 +420,10 @@
                 marks.taken[point] |= bit;
             }
         }
+        if early {
+            // It closed without having read all: what is left is in doubt.
+            return self.broke(now, at, Break::Closed, out);
+        }
         let pause_ms = if self.leaving { 0.0 } else { self.rules.pace_ms * share(&mut self.random) };
         let Some(receiver) = self.receivers[usize::from(at)].as_mut() else { return };
         if over {
