--- /dev/null
+++ b/tests/bench/mod.rs
@@ -0,0 +1,251 @@
+//! The core without a socket, among stand-ins that keep what they see.
+#![allow(dead_code)]
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use pinepoint::node::core::{Core, Parts};
+use pinepoint::node::counters::Counters;
+use pinepoint::node::port::{Arrival, Caller, Engine, Input, Reply, RunEnd, Store};
+use pinepoint::node::status::Status;
+use pinepoint::settings::Site;
+use pinepoint::{Effect, Outcome};
+use pinepoint_clock::Clock;
+use pinepoint_facts::{Fact, Front, Kind, Observer, State, Turn};
+
+/// What the stand-ins saw, and what the observer was told.
+#[derive(Default)]
+pub struct Seen {
+    pub runs: RefCell<Vec<String>>,
+    pub calls: RefCell<Vec<String>>,
+    pub asked: Cell<u64>,
+    pub answers: RefCell<BTreeMap<(u64, u64), Vec<Reply>>>,
+    pub facts: RefCell<Vec<Fact>>,
+    pub turns: RefCell<Vec<Turn>>,
+    pub state: RefCell<State>,
+}
+
+impl Engine for Seen {
+    fn run(&self, rid: &str, _: &str, _: &[u8]) {
+        self.runs.borrow_mut().push(rid.to_owned());
+    }
+    fn halt(&self, _: &str) {}
+    fn feed(&self, _: &str, _: &[u8]) -> bool {
+        true
+    }
+    fn skip(&self, _: &str, _: u64) -> bool {
+        true
+    }
+    fn stat(&self, tag: u64) {
+        self.asked.set(tag);
+    }
+}
+
+impl Store for Seen {
+    /// A second call for the same request gives up the first.
+    fn call(self: Rc<Self>, rid: &str, _: f64, _: &[u8], _: bool) {
+        self.drop_call(rid);
+        self.calls.borrow_mut().push(rid.to_owned());
+    }
+    fn drop_call(&self, rid: &str) {
+        self.calls.borrow_mut().retain(|call| call != rid);
+    }
+}
+
+impl Observer for Seen {
+    fn note(&self, _: f64, fact: Fact) {
+        self.facts.borrow_mut().push(fact);
+    }
+    fn turn(&self, _: f64, turn: Turn) {
+        self.turns.borrow_mut().push(turn);
+    }
+    fn state(&self, _: f64, state: &State) {
+        *self.state.borrow_mut() = state.clone();
+    }
+}
+
+pub struct Client(pub u64, pub Rc<Seen>);
+
+impl Caller for Client {
+    fn id(&self) -> u64 {
+        self.0
+    }
+    fn answer(&self, ticket: u64, reply: &Reply) {
+        self.1.answers.borrow_mut().entry((self.0, ticket)).or_default().push(reply.clone());
+    }
+    fn leave(&self) {}
+    fn leave_if_idle(&self, _: f64) {}
+}
+
+pub struct Bench {
+    pub core: Core,
+    pub seen: Rc<Seen>,
+    pub now: f64,
+    pub tickets: u64,
+    pub notices: u64,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Bench::with_room(0.001, 2000.0)
+    }
+
+    /// With these limits of memory: of the process, MB, of which kept results get a part, and of requests, kB; room
+    /// for many requests brings a share of calls.
+    pub fn with_room(memory_mb: f64, memory_kb: f64) -> Self {
+        let seen = Rc::new(Seen::default());
+        let mut site = Site {
+            settings: pinepoint::Settings {
+                cores: 2.0,
+                memory_kb,
+                calls_share: if memory_kb > 10_000.0 { 8.0 } else { 0.0 },
+                calls_over_ms: if memory_kb > 10_000.0 { 5000.0 } else { 0.0 },
+                run_factor: 4.0,
+                ..Default::default()
+            },
+            class_names: BTreeMap::new(),
+            tenant_names: BTreeMap::new(),
+            listed_by_health: true,
+        };
+        let class =
+            pinepoint::Class { deadline_ms: 3000.0, aim_ms: 900.0, calls: true, ..Default::default() };
+        let keyed = pinepoint::Class { effect: Effect::Keyed, key_window_ms: 5000.0, ..class.clone() };
+        site.settings.classes = vec![pinepoint::Class { worth_without: 0.3, ..class }, keyed];
+        site.settings.gauges = vec![pinepoint::Gauge::BusyShare, pinepoint::Gauge::Runnable];
+        site.settings.rules.answer_slack_ms = 100.0;
+        site.settings.rules.drain_grace_ms = 1000.0;
+        let parts = Parts {
+            site: Rc::new(site),
+            seed: 5,
+            stop_ms: 2000.0,
+            memory_mb,
+            clock: Clock::fixed(0.0),
+            status: Rc::new(Status::default()),
+            counters: Rc::new(Counters::default()),
+            observer: seen.clone(),
+            engine: seen.clone(),
+            store: seen.clone(),
+        };
+        Bench { core: Core::new(parts), seen, now: 1_000_000.0, tickets: 0, notices: 0 }
+    }
+
+    pub fn tell(&mut self, input: Input) {
+        self.core.take(self.now, input);
+        self.core.settle(self.now);
+    }
+
+    pub fn arrive(&mut self, class: usize, key: u8, body: u8, age_ms: f64) {
+        self.arrive_from(u64::from(key % 3), class, format!("k{key}"), body, age_ms);
+    }
+
+    pub fn arrive_from(&mut self, caller: u64, class: usize, key: String, body: u8, age_ms: f64) {
+        self.tickets += 1;
+        self.tell(Input::Request(Box::new(Arrival {
+            caller: Rc::new(Client(caller, self.seen.clone())),
+            front: Front::Rpc,
+            ticket: self.tickets,
+            rid: format!("r{}", self.tickets),
+            class,
+            t0: self.now - age_ms,
+            again: body.is_multiple_of(2),
+            est_ms: Some(100.0),
+            mem_kb: 40.0,
+            token: (class == 1).then_some(key),
+            subject: None,
+            tenant: None,
+            body: vec![body],
+        })));
+    }
+
+    pub fn pass(&mut self, ms: f64, busy: f64) {
+        let until = self.now + ms;
+        while let Some(due) = self.core.next_due().filter(|due| *due <= until) {
+            self.now = self.now.max(due);
+            self.core.settle(self.now);
+            let tag = self.seen.asked.get();
+            self.tell(Input::Stats(tag, vec![busy, busy * 2.0]));
+        }
+        self.now = until;
+        self.core.settle(until);
+    }
+
+    pub fn run(&mut self, step: &Step) {
+        let pick = |list: &RefCell<Vec<String>>, n: u8| {
+            let list = list.borrow();
+            (!list.is_empty()).then(|| list[usize::from(n) % list.len()].clone())
+        };
+        match *step {
+            Step::Up => self.tell(Input::EngineUp { cold: false, ms: 9000.0 }),
+            Step::Down => self.tell(Input::EngineDown),
+            Step::Arrive { class, key, body, age } => self.arrive(class, key, body, f64::from(age)),
+            Step::Pass { ms, busy } => self.pass(f64::from(ms), f64::from(busy) / 100.0),
+            Step::End { run, how } => {
+                if let Some(rid) = pick(&self.seen.runs, run) {
+                    let end = match how % 4 {
+                        0 | 1 => RunEnd::Complete(vec![how; 200].as_slice().into()),
+                        2 => RunEnd::Error,
+                        _ => RunEnd::Unknown,
+                    };
+                    self.tell(Input::Done(rid, end));
+                }
+            }
+            Step::Need { run } => {
+                self.notices += 1;
+                if let Some(rid) = pick(&self.seen.runs, run) {
+                    self.tell(Input::Need(rid, self.notices, vec![1]));
+                }
+            }
+            Step::CallOver { call, how } => {
+                if let Some(rid) = pick(&self.seen.calls, call) {
+                    self.seen.calls.borrow_mut().retain(|c| *c != rid);
+                    let (outcome, reply) = match how % 4 {
+                        0 | 1 => (Outcome::Done, Some(vec![how])),
+                        2 => (Outcome::Declined, None),
+                        _ => (Outcome::Reset, None),
+                    };
+                    self.tell(Input::CallEnded(rid, outcome, reply));
+                }
+            }
+            Step::Gone { ticket } => {
+                let ticket = u64::from(ticket) % (self.tickets + 1);
+                for caller in 0..3 {
+                    self.tell(Input::Gone(caller, ticket));
+                }
+            }
+            Step::Closed { caller } => self.tell(Input::Closed(u64::from(caller % 3))),
+            Step::Leave => self.tell(Input::Leave),
+        }
+    }
+
+    /// Per class: read, answered or expired, gone; and the numbers of requests with an end.
+    pub fn sums(&self) -> Vec<[u64; 3]> {
+        let mut sums = vec![[0; 3]; 2];
+        let mut ended = BTreeSet::new();
+        for fact in self.seen.facts.borrow().iter() {
+            let at = match fact.kind {
+                Kind::Read { .. } => 0,
+                Kind::Answered { .. } | Kind::Expired { .. } => 1,
+                Kind::Gone { .. } => 2,
+                _ => continue,
+            };
+            sums[fact.class][at] += 1;
+            assert!(at == 0 || fact.id == 0 || ended.insert(fact.id), "{} ends twice", fact.id);
+        }
+        sums
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    Up,
+    Down,
+    Arrive { class: usize, key: u8, body: u8, age: u16 },
+    Pass { ms: u16, busy: u8 },
+    End { run: u8, how: u8 },
+    Need { run: u8 },
+    CallOver { call: u8, how: u8 },
+    Gone { ticket: u8 },
+    Closed { caller: u8 },
+    Leave,
+}
--- /dev/null
+++ b/tests/long_life.rs
@@ -0,0 +1,229 @@
+//! A long life in simulated time: after rounds of varied load, each with a quiet while at its end, every
+//! table is empty again, and the memory taken is what it was after the first of them. `GROWTH_SEED` replays another course.
+
+mod bench;
+
+use std::alloc::System;
+use std::rc::Rc;
+
+use bench::{Bench, Client, Step};
+use pinepoint::node::port::{Input, RunEnd};
+use pinepoint::{Outcome, View};
+use pinepoint_telemetry::accounts::{Accounts, Class};
+use pinepoint_telemetry::schema::Schema;
+use pinepoint_telemetry::snapshot::Snapshot;
+use pinepoint_telemetry::spool::{Bounds, Spool};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn taken() -> isize {
+    let stats = HEAP.stats();
+    stats.bytes_allocated as isize - stats.bytes_deallocated as isize
+}
+
+/// A step of the machine, and steps in a second.
+const STEP_MS: f64 = 50.0;
+const STEPS: u64 = 20;
+const ROUND_S: u32 = 1200;
+const INTERVAL_S: u32 = 10;
+const SPOOL_BYTES: usize = 256 * 1024;
+
+/// The core, its clients and machine, and what telemetry keeps of it.
+struct Life {
+    bench: Bench,
+    random: Pcg64Mcg,
+    accounts: Accounts,
+    gauges: usize,
+    spool: Spool,
+    keys: u64,
+    callers: std::ops::Range<u64>,
+    /// Most of keys, requests and bytes of results at once: the load has to fill what it is to leave empty.
+    most: (u64, usize, u64),
+}
+
+impl Life {
+    fn new(seed: u64) -> Life {
+        let mut bench = Bench::with_room(0.1, 40_000.0);
+        bench.run(&Step::Up);
+        let schema = Rc::new(Schema::new(&["look".into(), "write".into()], &[], &View::NAMES));
+        let class =
+            Class { aim_ms: 900.0, aim_stretch: 0.0, worth: 1.0, late_worth: 0.2, worth_without: 0.3 };
+        let accounts = Accounts::new(schema.clone(), vec![class; 2], false);
+        let bounds = Bounds { bytes: SPOOL_BYTES, age_ms: 86_400_000.0, window: 8 };
+        let spool = Spool::new(bounds, vec![0.0; schema.counts()].into());
+        let (random, gauges) = (Pcg64Mcg::seed_from_u64(seed), schema.gauges());
+        Life { bench, random, accounts, gauges, spool, keys: 0, callers: 0..0, most: (0, 0, 0) }
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.random.next_u64() % n
+    }
+
+    /// A connection comes, and of more than 40 the oldest goes.
+    fn connect(&mut self) {
+        let client = Client(self.callers.end, self.bench.seen.clone());
+        self.callers.end += 1;
+        self.bench.tell(Input::Opened(Rc::new(client)));
+        if self.callers.end - self.callers.start > 40 {
+            self.bench.tell(Input::Closed(self.callers.start));
+            self.callers.start += 1;
+        }
+    }
+
+    /// The engine ends one of its runs.
+    fn end_run(&mut self, pick: usize, how: u8) {
+        let rid = {
+            let mut runs = self.bench.seen.runs.borrow_mut();
+            if runs.is_empty() {
+                return;
+            }
+            let at = pick % runs.len();
+            runs.remove(at)
+        };
+        let end = match how % 4 {
+            0 | 1 => RunEnd::Complete(vec![how; 200].as_slice().into()),
+            2 => RunEnd::Error,
+            _ => RunEnd::Unknown,
+        };
+        self.bench.tell(Input::Done(rid, end));
+    }
+
+    /// The store ends one of its calls: most go well.
+    fn end_call(&mut self, pick: usize, how: u8) {
+        let rid = {
+            let mut calls = self.bench.seen.calls.borrow_mut();
+            if calls.is_empty() {
+                return;
+            }
+            let at = pick % calls.len();
+            calls.remove(at)
+        };
+        let (outcome, reply) = match how % 16 {
+            0 => (Outcome::Declined, None),
+            1 => (Outcome::Reset, None),
+            _ => (Outcome::Done, Some(vec![how])),
+        };
+        self.bench.tell(Input::CallEnded(rid, outcome, reply));
+    }
+
+    /// A step of the machine: its two cores end one run of 100 ms, after a call or without; calls end.
+    fn step(&mut self) {
+        let (a, b) = (self.below(256) as u8, self.below(256) as u8);
+        while !self.bench.seen.calls.borrow().is_empty() {
+            self.end_call(0, b);
+        }
+        if a < 100 {
+            self.bench.run(&Step::Need { run: 0 });
+        } else {
+            self.end_run(0, if a < 230 { 0 } else { b });
+        }
+        let runs = self.bench.seen.runs.borrow().len() as f64;
+        self.bench.pass(STEP_MS, (runs / 2.0).min(1.0));
+    }
+
+    /// One second with about this many arrivals.
+    fn second(&mut self, arrivals: u64) {
+        for step in 0..STEPS {
+            for _ in arrivals * step / STEPS..arrivals * (step + 1) / STEPS {
+                let caller = self.callers.start + self.below(self.callers.end - self.callers.start);
+                // A fifth repeats one of the last keys, some of them with another body.
+                let again = self.below(5) == 0 && self.keys > 8;
+                let key = if again { self.keys - self.below(8) } else { self.keys + 1 };
+                self.keys = self.keys.max(key);
+                let (class, body) = ((key % 2) as usize, (key + u64::from(self.below(9) == 0)) as u8);
+                let age = if self.below(50) == 0 { 9000.0 } else { self.below(40) as f64 };
+                self.bench.arrive_from(caller, class, format!("k{key}"), body, age);
+                if self.below(12) == 0 {
+                    let ticket = self.bench.tickets - self.below(8.min(self.bench.tickets));
+                    self.bench.tell(Input::Gone(caller, ticket));
+                }
+                if self.below(12) == 0 {
+                    self.connect();
+                }
+            }
+            self.step();
+        }
+        if self.below(300) == 0 {
+            self.bench.run(&Step::Down);
+            self.bench.run(&Step::Up);
+            // The answer to what is asked behind the notices that come again.
+            let tag = self.bench.seen.asked.get();
+            self.bench.tell(Input::Stats(tag, vec![0.5, 1.0]));
+        }
+        let facts = std::mem::take(&mut *self.bench.seen.facts.borrow_mut());
+        facts.iter().for_each(|fact| self.accounts.note(fact));
+        self.bench.seen.answers.borrow_mut().clear();
+        self.bench.seen.turns.borrow_mut().clear();
+        let state = self.bench.core.state();
+        let open = state.open.iter().sum::<u64>() as usize;
+        self.most =
+            (self.most.0.max(state.keys), self.most.1.max(open), self.most.2.max(state.results_bytes));
+    }
+
+    fn interval(&mut self, slot_s: u64) {
+        let now = self.bench.now;
+        let state = self.bench.core.state();
+        assert_eq!(self.accounts.law_off(&state), 0.0);
+        let (totals, dists) = self.accounts.cut();
+        let gauges = vec![0.0; self.gauges].into();
+        let span_ms = (now - f64::from(INTERVAL_S) * 1000.0, now);
+        self.spool.push(now, Snapshot { slot_s, slots: 1, span_ms, totals, gauges, dists });
+        assert!(self.spool.size().1 <= SPOOL_BYTES);
+    }
+
+    /// Twenty minutes of load that rises and falls, then a quiet while.
+    fn round(&mut self, number: u32) {
+        for _ in 0..40 {
+            self.connect();
+        }
+        for second in 0..ROUND_S {
+            let level =
+                if second < ROUND_S - 120 { [0, 2, 8, 20, 40][(second / 60 % 5) as usize] } else { 0 };
+            let arrivals = if level == 0 { 0 } else { level / 2 + self.below(level) };
+            if second > ROUND_S - 120 {
+                // Runs end; the connections close.
+                while !self.bench.seen.runs.borrow().is_empty() {
+                    self.end_run(0, 2);
+                }
+                let last = self.callers.end;
+                for caller in std::mem::replace(&mut self.callers, last..last) {
+                    self.bench.tell(Input::Closed(caller));
+                }
+            }
+            self.second(arrivals);
+            if second % INTERVAL_S == INTERVAL_S - 1 {
+                self.interval(u64::from(number * ROUND_S + second));
+            }
+        }
+    }
+}
+
+#[test]
+fn after_a_long_varied_load_tables_and_memory_are_where_they_began() {
+    let seed = std::env::var("GROWTH_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(11);
+    println!("GROWTH_SEED={seed}");
+    let mut life = Life::new(seed);
+    let mut after = Vec::new();
+    for number in 0..5 {
+        life.round(number);
+        let state = life.bench.core.state();
+        assert!(state.open.iter().all(|open| *open == 0), "open after round {number}: {:?}", state.open);
+        let left = [state.held, state.waiting, state.running, state.calls, state.keys, state.results_bytes];
+        assert_eq!(
+            left, [0; 6],
+            "held, waiting, running, calls, keys, bytes of results after round {number}"
+        );
+        assert_eq!(state.connections, 0, "callers after round {number}");
+        after.push(taken());
+    }
+    let (keys, open, results) = life.most;
+    assert!(keys > 50 && open > 10 && results > 2000, "the load fills nothing: {:?}", life.most);
+    println!("memory after each round, bytes: {after:?}; most keys, open, bytes of results: {:?}", life.most);
+    // What a table or a spool that is full once keeps for later is no growth; one byte a request would be over 50 kB.
+    let (first, last) = (after[1], after[4]);
+    assert!(last - first < 32 * 1024, "grows: {after:?}");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -24,7 +24,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// An event that does not come within this time does not come.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -368,11 +368,22 @@
     pub edge: String,
     /// The comparer's name, as JSON has it.
     pub name: String,
+    /// As the platform starts it: without an edge file.
+    pub bare: bool,
+    /// What it is started under: a program and its words.
+    pub under: Vec<String>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { idle_ms: 0, memory_mb: 192.0, edge: String::new(), name: "n1".into() }
+        Options {
+            idle_ms: 0,
+            memory_mb: 192.0,
+            edge: String::new(),
+            name: "n1".into(),
+            bare: false,
+            under: Vec::new(),
+        }
     }
 }
 
@@ -419,7 +430,7 @@
 
     /// The same with a store that is made elsewhere, and these options.
     pub fn start_with(engine: Answer, store: (Actor, SocketAddr), options: Options) -> World {
-        let Options { idle_ms, memory_mb, name, edge: more } = options;
+        let Options { idle_ms, memory_mb, name, edge: more, bare, under } = options;
         let settings = SETTINGS.replace("IDLE", &idle_ms.to_string());
         let mut actors = HashMap::new();
         let mut add = |name: &str, (actor, address): (Actor, SocketAddr)| {
@@ -448,8 +459,10 @@
         let configs = HashMap::from([("cut-off", moved[..moved.len() / 2].to_owned()), ("moved", moved)]);
         let ajp = "[ajp]\nlisten = \"127.0.0.1:0\"\nsecret = \"s3\"\nmem_kb = 40.0\n";
         std::fs::write(&edge, format!("{ajp}{more}")).expect("written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pinepoint"))
-            .args([std::path::Path::new("--edge"), &edge])
+        let program = [under.as_slice(), &[env!("CARGO_BIN_EXE_pinepoint").to_owned()]].concat();
+        let mut child = Command::new(&program[0])
+            .args(&program[1..])
+            .args((!bare).then(|| [std::path::Path::new("--edge"), &edge]).into_iter().flatten())
             .env("RELAY_CONFIG", &config)
             .stderr(Stdio::piped())
             .spawn()
@@ -475,7 +488,9 @@
             folder: Folder(folder),
         };
         let address = |text: String| text.rsplit_once('=').and_then(|(_, a)| a.parse().ok()).expect(&text);
-        world.ajp = address(world.wait("node", "ajp listen=*"));
+        if !bare {
+            world.ajp = address(world.wait("node", "ajp listen=*"));
+        }
         world.listen = address(world.wait("node", "started *"));
         world
     }
@@ -485,20 +500,31 @@
         &self.folder.0
     }
 
+    /// The program's process.
+    pub fn pid(&self) -> u32 {
+        self.child.lock().expect("not poisoned").id()
+    }
+
     /// Replaces the edge file.
     pub fn write_edge(&self, text: &str) {
         std::fs::write(&self.edge, text).expect("written");
     }
 
     fn take(&mut self, actor: &str, wanted: &str) -> String {
+        self.take_until(Instant::now() + PATIENCE, actor, wanted)
+    }
+
+    fn take_until(&mut self, until: Instant, actor: &str, wanted: &str) -> String {
         let actor_of = self.actors.get(actor).unwrap_or_else(|| panic!("no actor {actor}"));
-        let got = actor_of.inbox.recv_timeout(PATIENCE);
+        let got = actor_of.inbox.recv_timeout(until.saturating_duration_since(Instant::now()));
         got.unwrap_or_else(|_| panic!("{actor}: nothing came, expected {wanted}"))
     }
 
     pub fn wait(&mut self, actor: &str, wanted: &str) -> String {
+        // What chatters on without the line that is waited for must not be waited for without end.
+        let until = Instant::now() + PATIENCE;
         loop {
-            let got = self.take(actor, wanted);
+            let got = self.take_until(until, actor, wanted);
             if matches(wanted, &got) {
                 return got;
             }
