Let comparers keep a view of their fleet: detection, repair, starts, verdicts, and a rig for it

Need: no subsystem can ask how many comparers there are, or whether it is this one that is cut off; recovery from a power loss and the plan for a lost site stand on that. Measured before: nothing goes between two comparers.

Change: crate pinepoint-fleet, off without [fleet] in the edge file. The core tells whether its machine started cold. pinepoint-lab gets a switch between processes and a rig that runs scripts over N of them.

Not done yet: the rest of the issue, named in docs/design/fleet.md.

--- a/crates/pinepoint-facts/src/lib.rs
+++ b/crates/pinepoint-facts/src/lib.rs
@@ -286,7 +286,10 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Turn {
     /// The engine is up and the module was made.
-    Up,
+    Up {
+        /// The machine had started cold.
+        cold: bool,
+    },
     /// The notice to leave has come; the process is killed at that time, Unix ms.
     Leaving {
         /// Time of the kill.
--- /dev/null
+++ b/crates/pinepoint-fleet/src/judge.rs
@@ -0,0 +1,349 @@
+//! Judgement over the single member: has a zone gone in one stroke, is it cut off, is one direction of a link dead, is it I
+//! who am cut off, does the whole fleet start anew. It owns the verdicts, their evidence and their hold-down; it must never
+//! do I/O, read a clock or change what is known of a member.
+
+use std::collections::BTreeMap;
+
+use pinepoint_facts::reasons;
+use serde::Serialize;
+
+use crate::member::{Phase, Standing};
+use crate::table::{Returned, Table};
+
+reasons! {
+    /// What is judged of more than one member.
+    Kind {
+        /// The members of a zone went in one stroke, and their processes are not there.
+        ZoneLost = "zone-lost",
+        /// The members of a zone went in one stroke, and some of them were seen alive since.
+        ZoneCutOff = "zone-cut-off",
+        /// The members of a zone went in one stroke; whether they run is not known.
+        ZoneUnreachable = "zone-unreachable",
+        /// A member is heard and does not hear me.
+        OneWay = "one-way",
+        /// I lost most of what I knew at once: it is I who am cut off.
+        SelfCutOff = "self-cut-off",
+        /// Everybody has started just now.
+        FleetStart = "fleet-start",
+        /// Another process goes by my name.
+        NameClash = "name-clash",
+    }
+}
+
+impl Serialize for Kind {
+    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(pinepoint_facts::Reason::word(*self))
+    }
+}
+
+/// A judgement.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    /// What is judged.
+    pub kind: Kind,
+    /// Of whom: a zone, a member, or nothing where it is of this member or the fleet.
+    pub of: String,
+    /// How sure that is, 0 to 1: the part of the members concerned that bear it out.
+    pub confidence: f64,
+    /// What it rests on, for people.
+    pub evidence: String,
+    /// When it was first judged so, Unix ms.
+    pub since_ms: f64,
+}
+
+/// The figures of judgement. Times are periods.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// Within so long members go in one stroke.
+    pub stroke: f64,
+    /// The part of a zone, or of all, that has to go in it.
+    pub part: f64,
+    /// Fewer members than this are no zone and no fleet.
+    pub least: usize,
+    /// A verdict holds at least so long once it is made, and is not made anew for as long after it ended.
+    pub hold: f64,
+    /// A fleet that starts anew does so within this time.
+    pub young: f64,
+    /// So long nobody is heard by one that is cut off.
+    pub silent: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules { stroke: 12.0, part: 0.8, least: 2, hold: 10.0, young: 60.0, silent: 4.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    since_ms: f64,
+    seen_ms: f64,
+}
+
+/// Makes and keeps verdicts.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    rules: Rules,
+    period_ms: f64,
+    verdicts: BTreeMap<(Kind, String), (Verdict, Held)>,
+    /// Zones that went in one stroke and when, till their members are back.
+    gone: BTreeMap<String, f64>,
+    /// When those went that make this member cut off, while it is.
+    cut_ms: Option<f64>,
+    /// Somebody was there long before this member, or left in order: the fleet did not start with it.
+    elder: bool,
+}
+
+/// A change of a verdict.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// It holds from now on, or no longer.
+    pub holds: bool,
+}
+
+/// What the judge is told of this member itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Own<'a> {
+    /// Its zone.
+    pub zone: &'a str,
+    /// How long it runs, ms.
+    pub up_ms: f64,
+    /// It was stopped or starved of late: what it holds of others is not worth a verdict.
+    pub in_trouble: bool,
+    /// Questions in a row that nobody answered.
+    pub unanswered: u32,
+}
+
+struct Zone {
+    /// Members that are, or were until the stroke, there.
+    all: usize,
+    /// Of these, not answering since the stroke began.
+    gone: usize,
+    refused: usize,
+    heard: usize,
+    restarted: usize,
+    first_gone_ms: f64,
+}
+
+impl Judge {
+    /// No verdicts yet.
+    pub fn new(rules: Rules, period_ms: f64) -> Self {
+        Judge {
+            rules,
+            period_ms,
+            verdicts: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            cut_ms: None,
+            elder: false,
+        }
+    }
+
+    /// The verdicts that hold.
+    pub fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        self.verdicts.values().map(|(verdict, _)| verdict)
+    }
+
+    /// Whether one of this kind holds, of anybody.
+    pub fn holds(&self, kind: Kind) -> bool {
+        self.verdicts.keys().any(|(of, _)| *of == kind)
+    }
+
+    /// Notes a clash of names, which is seen by a message and not by the table.
+    pub fn clash(&mut self, now: f64, with: &str, out: &mut Vec<Change>) {
+        let evidence = format!("a message came from another process of this name at {with}");
+        self.see(now, Kind::NameClash, with.to_owned(), 1.0, evidence, out);
+    }
+
+    /// Judges the table as it is now. To be called once a period.
+    pub fn judge(&mut self, now: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
+        let window = self.rules.stroke * self.period_ms;
+        if !own.in_trouble {
+            self.judge_zones(now, window, own, table, out);
+            self.judge_links(now, table, out);
+        }
+        self.judge_start(now, own, table, out);
+        let hold = self.rules.hold * self.period_ms;
+        let over: Vec<(Kind, String)> = self
+            .verdicts
+            .iter()
+            .filter(|(_, (_, held))| {
+                held.seen_ms < now
+                    && now - held.since_ms >= hold
+                    && now - held.seen_ms >= 2.0 * self.period_ms
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in over {
+            if let Some((verdict, _)) = self.verdicts.remove(&key) {
+                out.push(Change { verdict, holds: false });
+            }
+        }
+    }
+
+    fn judge_zones(&mut self, now: f64, window: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
+        let mut zones: BTreeMap<&str, Zone> = BTreeMap::new();
+        for (_, member) in table.iter() {
+            let record = &member.record;
+            if record.phase == Phase::Left {
+                continue;
+            }
+            let zone = zones.entry(record.identity.zone.as_str()).or_insert(Zone {
+                all: 0,
+                gone: 0,
+                refused: 0,
+                heard: 0,
+                restarted: 0,
+                first_gone_ms: f64::INFINITY,
+            });
+            let anchor = self.cut_ms.or_else(|| self.gone.get(record.identity.zone.as_str()).copied());
+            let since_stroke = anchor.unwrap_or(now) - window;
+            let lost = record.standing != Standing::Alive;
+            // Who was lost long before the stroke is no part of it.
+            if lost && member.since_ms < since_stroke {
+                continue;
+            }
+            zone.all += 1;
+            if lost {
+                zone.gone += 1;
+                zone.first_gone_ms = zone.first_gone_ms.min(member.since_ms);
+                zone.refused += usize::from(member.refused);
+                // Heard after it was held lost: it runs, and hears nothing of mine.
+                zone.heard += usize::from(member.heard_ms > member.since_ms);
+            }
+            zone.restarted += usize::from(member.returned == Returned::NewStart);
+        }
+        let sum = |of: fn(&Zone) -> usize| zones.values().map(of).sum::<usize>();
+        let (all, gone, refused) = (sum(|zone| zone.all), sum(|zone| zone.gone), sum(|zone| zone.refused));
+        let part = |n: usize, of: usize| n as f64 / of.max(1) as f64;
+        // Most of the fleet at once, and it is not known to be down: the trouble is here. Or nobody is heard at all.
+        let silent = table.iter().map(|(_, member)| now - member.heard_ms).fold(f64::INFINITY, f64::min);
+        let is_deaf =
+            silent.is_finite() && silent >= self.rules.silent * self.period_ms && own.unanswered >= 2;
+        let most = 2 * gone > all + 1 && 2 * refused < gone;
+        let cut_off = all > self.rules.least && (is_deaf || most);
+        if !cut_off {
+            self.cut_ms = None;
+        } else if self.cut_ms.is_none() {
+            self.cut_ms = Some(zones.values().map(|zone| zone.first_gone_ms).fold(now, f64::min));
+        }
+        if cut_off {
+            let evidence = if is_deaf {
+                format!(
+                    "nobody of {all} members heard for {silent:.0} ms, {} questions unanswered",
+                    own.unanswered
+                )
+            } else {
+                format!("{gone} of {all} members stopped answering within {window:.0} ms")
+            };
+            let sure = if is_deaf { 1.0 } else { part(gone, all) };
+            self.see(now, Kind::SelfCutOff, String::new(), sure, evidence, out);
+        }
+        let answering = all - gone;
+        for (name, zone) in &zones {
+            let stroke = zone.all >= self.rules.least && part(zone.gone, zone.all) >= self.rules.part;
+            if !stroke || *name == own.zone || cut_off || answering == 0 || name.is_empty() {
+                // What is said of a zone while it is I who am cut off, or once it is back, is over.
+                let over = cut_off || zone.gone == 0;
+                if over {
+                    self.gone.remove(*name);
+                    self.withdraw(name, None, out);
+                }
+                continue;
+            }
+            self.gone.entry((*name).to_owned()).or_insert(zone.first_gone_ms);
+            let Zone { all, gone, refused, heard, restarted, .. } = *zone;
+            let (kind, sure) = if heard > 0 {
+                (Kind::ZoneCutOff, part(gone, all))
+            } else if 2 * refused >= gone || restarted > 0 {
+                (Kind::ZoneLost, part(gone, all))
+            } else {
+                (Kind::ZoneUnreachable, part(gone, all))
+            };
+            let evidence = format!(
+                "{gone} of {all} stopped answering; of these {refused} have nobody listening, {heard} were heard since, \
+                 {restarted} came back with a new start"
+            );
+            // A better founded verdict takes the place of a poorer one about the same zone.
+            self.withdraw(name, Some(kind), out);
+            self.see(now, kind, (*name).to_owned(), sure, evidence, out);
+        }
+    }
+
+    /// Ends the verdicts about a zone, but for one kind.
+    fn withdraw(&mut self, zone: &str, but: Option<Kind>, out: &mut Vec<Change>) {
+        for kind in [Kind::ZoneUnreachable, Kind::ZoneLost, Kind::ZoneCutOff] {
+            if Some(kind) != but
+                && let Some((verdict, _)) = self.verdicts.remove(&(kind, zone.to_owned()))
+            {
+                out.push(Change { verdict, holds: false });
+            }
+        }
+    }
+
+    fn judge_links(&mut self, now: f64, table: &Table, out: &mut Vec<Change>) {
+        let lately = 4.0 * self.period_ms;
+        for (_, member) in table.iter() {
+            let heard = now - member.heard_ms < lately;
+            if member.unanswered >= 2 && heard && member.record.is_up() {
+                let name = member.record.identity.name.clone();
+                let evidence = format!(
+                    "heard {:.0} ms ago, {} questions unanswered",
+                    now - member.heard_ms,
+                    member.unanswered
+                );
+                self.see(
+                    now,
+                    Kind::OneWay,
+                    name,
+                    1.0 - 0.5_f64.powi(member.unanswered as i32),
+                    evidence,
+                    out,
+                );
+            }
+        }
+    }
+
+    fn judge_start(&mut self, now: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
+        let young_ms = self.rules.young * self.period_ms;
+        if self.elder || own.up_ms > 2.0 * young_ms {
+            return;
+        }
+        let (mut n, mut elder) = (0, false);
+        for (_, member) in table.iter() {
+            if member.record.phase == Phase::Left {
+                elder = true;
+            } else if member.heard_ms.is_finite() {
+                n += 1;
+                let up_ms = f64::from(member.load.up_s) * 1000.0 + (now - member.heard_ms);
+                elder |= up_ms > own.up_ms + young_ms;
+            }
+        }
+        self.elder = elder;
+        if !elder && n >= self.rules.least && own.up_ms < young_ms {
+            let evidence = format!(
+                "none of {n} members heard started over {young_ms:.0} ms before me, and none has left"
+            );
+            self.see(now, Kind::FleetStart, String::new(), n as f64 / (n as f64 + 1.0), evidence, out);
+        }
+    }
+
+    fn see(
+        &mut self,
+        now: f64,
+        kind: Kind,
+        of: String,
+        confidence: f64,
+        evidence: String,
+        out: &mut Vec<Change>,
+    ) {
+        if let Some((verdict, held)) = self.verdicts.get_mut(&(kind, of.clone())) {
+            (verdict.confidence, verdict.evidence, held.seen_ms) = (confidence, evidence, now);
+            return;
+        }
+        let verdict = Verdict { kind, of: of.clone(), confidence, evidence, since_ms: now };
+        out.push(Change { verdict: verdict.clone(), holds: true });
+        self.verdicts.insert((kind, of), (verdict, Held { since_ms: now, seen_ms: now }));
+    }
+}
--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod load;
 pub mod machine;
 pub mod process;
+pub mod rig;
+pub mod switch;
 pub mod telemetry;
--- a/crates/pinepoint-telemetry/src/io.rs
+++ b/crates/pinepoint-telemetry/src/io.rs
@@ -333,7 +333,7 @@
 
     fn turn(&self, now: f64, turn: Turn) {
         match turn {
-            Turn::Up => {}
+            Turn::Up { .. } => {}
             Turn::Leaving { kill_ms } => {
                 self.leaving.set(Some(kill_ms));
                 self.notify(Severity::Warning, "drain", "drain begun".into());
--- a/src/bin/pinepoint/config.rs
+++ b/src/bin/pinepoint/config.rs
@@ -169,6 +169,8 @@
     pub ajp: Option<Ajp>,
     /// What holds for all destinations of counts.
     pub telemetry: pinepoint_telemetry::config::Telemetry,
+    /// The view of the fleet.
+    pub fleet: Option<pinepoint_fleet::config::Config>,
     /// Counts to Graphite.
     pub graphite: Option<pinepoint_telemetry::config::Graphite>,
     /// Counts to collectd.
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod view;
 
 use std::fmt;
 use std::io;
@@ -23,7 +24,7 @@
 use pinepoint::node::listen::{self, Front, Room};
 use pinepoint::node::port::Input;
 use pinepoint::node::status::Status;
-use pinepoint::node::{ajp, links, rpc, telemetry};
+use pinepoint::node::{ajp, fleet, links, rpc, telemetry};
 use pinepoint_clock::Clock;
 use pinepoint_facts::{Observer, Unwatched};
 use pinepoint_telemetry::Telemetry;
@@ -74,6 +75,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask a running comparer what it knows of its fleet
+    Fleet {
+        #[command(subcommand)]
+        ask: view::Ask,
+    },
 }
 
 /// Exit status for a command line or a file that cannot be used.
@@ -153,6 +159,7 @@
 fn main() -> ExitCode {
     let edge = match Cli::parse() {
         Cli { command: Some(Command::Check { edge, config, json }), .. } => return check(edge, config, json),
+        Cli { command: Some(Command::Fleet { ask }), .. } => return view::run(&ask),
         Cli { command: Some(Command::Serve { edge }), .. } | Cli { command: None, edge } => edge,
     };
     let read = read_edge(edge.as_deref());
@@ -251,6 +258,25 @@
         Some(telemetry) => telemetry.clone(),
         None => Rc::new(Unwatched),
     };
+    let (observer, member) = match &edge.fleet {
+        None => (observer, None),
+        Some(config) => {
+            let keys_most = site.settings.memory_kb / site.settings.key_kb;
+            let watch = fleet::Watch::new(observer, status.clone(), clock.clone(), queue.clone(), keys_most);
+            let watch = Rc::new(watch);
+            let parts = pinepoint_fleet::io::Parts {
+                name: name.clone(),
+                cores: site.settings.cores,
+                seed,
+                clock: clock.clone(),
+                executor: executor.clone(),
+                source: watch.clone(),
+            };
+            let member =
+                pinepoint_fleet::io::start(config, parts).map_err(|e| StartError::System("fleet", e))?;
+            (watch as Rc<dyn Observer>, Some(member))
+        }
+    };
     let core = Core::new(Parts {
         site: site.clone(),
         seed,
@@ -313,6 +339,9 @@
     let last_ms = edge.telemetry.last_ms.get() as f64;
     async_io::block_on(executor.run(async {
         let kill_ms = core.run(inputs).await;
+        if let Some(member) = &member {
+            member.leave();
+        }
         if let Some(telemetry) = &telemetry {
             // Never so long that the kill comes first.
             telemetry.finish((clock.now() + last_ms).min(kill_ms - KILL_MARGIN_MS)).await;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -398,7 +398,7 @@
             Ok(mut controller) => {
                 controller.handle(now - ms.max(0.0), Event::Begin, &mut self.actions);
                 self.controller = Some(controller);
-                self.turn(Turn::Up);
+                self.turn(Turn::Up { cold });
                 self.parts.status.listed.set(Some(true));
                 self.parts.status.report.wake();
             }
--- /dev/null
+++ b/src/node/fleet.rs
@@ -0,0 +1,112 @@
+//! What the fleet's view needs of the node. It owns the translation between the two: facts in, phase and load out. It must
+//! never decide about a request or hold up what it passes on.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use async_channel::Sender;
+use pinepoint_clock::Clock;
+use pinepoint_facts::{Fact, Observer, State, Turn};
+use pinepoint_fleet::io::Source;
+use pinepoint_fleet::member::{Load, Phase};
+
+use super::port::Input;
+use super::status::Status;
+
+/// A machine that started cold is told as such for so long, ms: nobody tells when it is warm.
+const COLD_MS: f64 = 30_000.0;
+/// Between two questions for the core's state, ms.
+const LOOK_MS: f64 = 1000.0;
+
+/// Passes on what the core tells, and keeps what others are to know of it.
+pub struct Watch {
+    inner: Rc<dyn Observer>,
+    status: Rc<Status>,
+    clock: Clock,
+    queue: Sender<Input>,
+    phase: Cell<Phase>,
+    cold_until_ms: Cell<f64>,
+    looked_ms: Cell<f64>,
+    load: Cell<Load>,
+    /// The room for keys that the operators' settings give: 0 for none.
+    keys_most: f64,
+}
+
+impl Watch {
+    /// Watches for this observer too.
+    pub fn new(
+        inner: Rc<dyn Observer>,
+        status: Rc<Status>,
+        clock: Clock,
+        queue: Sender<Input>,
+        keys_most: f64,
+    ) -> Self {
+        Watch {
+            inner,
+            status,
+            clock,
+            queue,
+            phase: Cell::new(Phase::Joining),
+            cold_until_ms: Cell::new(f64::NEG_INFINITY),
+            looked_ms: Cell::new(f64::NEG_INFINITY),
+            load: Cell::default(),
+            keys_most,
+        }
+    }
+}
+
+/// A part of one as a part of 255.
+fn part(of_one: f64) -> u8 {
+    (of_one.clamp(0.0, 1.0) * 255.0).round() as u8
+}
+
+impl Observer for Watch {
+    fn note(&self, now_ms: f64, fact: Fact) {
+        self.inner.note(now_ms, fact);
+    }
+
+    fn turn(&self, now_ms: f64, turn: Turn) {
+        match turn {
+            Turn::Up { cold } => {
+                self.phase.set(if cold { Phase::Cold } else { Phase::Serving });
+                self.cold_until_ms.set(now_ms + COLD_MS);
+            }
+            Turn::Leaving { .. } => self.phase.set(Phase::Draining),
+            Turn::Left | Turn::Reached(_) => {}
+        }
+        self.inner.turn(now_ms, turn);
+    }
+
+    fn state(&self, now_ms: f64, state: &State) {
+        let figure =
+            |name: &str| state.module.iter().find(|(n, _)| *n == name).map_or(0.0, |(_, value)| *value);
+        self.load.set(Load {
+            refusal: part(figure("refusal_share")),
+            busy: part(figure("busy_share")),
+            hold_ms: figure("hold_ms").clamp(0.0, f64::from(u16::MAX)) as u16,
+            keys_room: if self.keys_most > 0.0 { part(1.0 - state.keys as f64 / self.keys_most) } else { 0 },
+            healthy: self.status.healthy.get(),
+            up_s: 0,
+        });
+        self.inner.state(now_ms, state);
+    }
+}
+
+impl Source for Watch {
+    fn phase(&self) -> Phase {
+        if self.phase.get() == Phase::Cold && self.clock.now() >= self.cold_until_ms.get() {
+            self.phase.set(Phase::Serving);
+        }
+        self.phase.get()
+    }
+
+    fn load(&self) -> Load {
+        let now = self.clock.now();
+        if now - self.looked_ms.get() >= LOOK_MS {
+            self.looked_ms.set(now);
+            // A full queue is one that the core works on: it is asked again.
+            let _ = self.queue.try_send(Input::Look);
+        }
+        Load { healthy: self.status.healthy.get(), ..self.load.get() }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,11 +3,13 @@
 //! - [`core`] owns the decision module; [`requests`] and [`keys`] are its tables, [`port`] its ports.
 //! - [`rpc`] and [`ajp`] are the fronts, [`listen`] what they share.
 //! - [`links`] are the connections to engine, store and membership service.
+//! - [`fleet`] tells others what this comparer is and does.
 //! - [`telemetry`] is what counts are brought out by, beside the [`counters`]; [`status`] is what the core publishes.
 
 pub mod ajp;
 pub mod core;
 pub mod counters;
+pub mod fleet;
 pub mod keys;
 pub mod links;
 pub mod listen;
--- a/tests/facts.rs
+++ b/tests/facts.rs
@@ -71,5 +71,5 @@
         facts.iter().map(|f| format!("{:?}", f.kind).split([' ', '(']).next().unwrap().to_owned()).collect();
     assert_eq!(words, ["Read", "Decided", "RunBegan", "CallMade", "CallOver", "RunOver", "Answered"]);
     assert!(facts.iter().all(|fact| fact.id == 1));
-    assert_eq!(*bench.seen.turns.borrow(), [Turn::Up]);
+    assert_eq!(*bench.seen.turns.borrow(), [Turn::Up { cold: false }]);
 }
