--- a/crates/pinepoint-facts/src/lib.rs
+++ b/crates/pinepoint-facts/src/lib.rs
@@ -299,6 +299,23 @@
     Left,
     /// A bound was reached.
     Reached(Limit),
+    /// The view of the fleet has changed.
+    Fleet(Fleet),
+}
+
+/// What the view of the fleet holds, in figures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// Members that are there, this one included; suspected ones are.
+    pub up: u32,
+    /// Of these, suspected.
+    pub suspected: u32,
+    /// Lost members that are still asked.
+    pub lost: u32,
+    /// Verdicts that hold.
+    pub verdicts: u32,
+    /// Nothing changes, and those heard lately hold the same.
+    pub settled: bool,
 }
 
 /// The state of the core at one instant, counted in its own tables.
--- /dev/null
+++ b/crates/pinepoint-fleet/benches/measure.rs
@@ -0,0 +1,293 @@
+//! What the measurement page of the fleet shows: the same deciding code in simulated time, over sizes and seeds, against
+//! plain SWIM and the plain heartbeat. `cargo bench -p pinepoint-fleet --bench measure -- detect --sizes 12,100 --seeds 20`
+
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use clap::{Parser, ValueEnum};
+use pinepoint_fleet::fleet::{Detector, Rules, Told};
+use pinepoint_fleet::judge::Kind;
+use pinepoint_fleet::member::Standing;
+use sim::{Net, PERIOD, World};
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum What {
+    /// Periods from a crash to the first and to all that hold it lost
+    Detect,
+    /// Accusations and losses of members that live, at loss and with pauses
+    Accuse,
+    /// Periods from the last fault of any course until all views are equal and true
+    Heal,
+    /// Datagrams, bytes and time on a core, a member and period
+    Cost,
+    /// Verdicts over courses with and without the loss of a zone
+    Judge,
+}
+
+#[derive(Parser)]
+struct Cli {
+    what: What,
+    #[arg(long, value_delimiter = ',', default_value = "12,100,300")]
+    sizes: Vec<usize>,
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// That cargo passes along.
+    #[arg(long, hide = true)]
+    bench: bool,
+}
+
+fn rules(detector: Detector) -> Rules {
+    Rules { detector, ..Rules::default() }
+}
+
+/// Runs this for each seed on all cores; progress on standard error.
+fn over<T: Send>(seeds: u64, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds {
+                        return;
+                    }
+                    let result = run(seed);
+                    let mut done = done.lock().expect("no thread panicked");
+                    done.push(result);
+                    eprint!("\r{} of {seeds} ", done.len());
+                }
+            });
+        }
+    });
+    eprint!("\r");
+    done.into_inner().expect("no thread panicked")
+}
+
+/// Median, 99th percentile and largest.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let at = |part: f64| values.get(((values.len() as f64 * part).ceil() as usize).max(1) - 1);
+    let text = |value: Option<&f64>| value.map_or("-".into(), |value| format!("{value:.1}"));
+    format!("{} / {} / {}", text(at(0.5)), text(at(0.99)), text(values.last()))
+}
+
+fn detect(size: usize, detector: Detector, seeds: u64) {
+    let found = over(seeds, |seed| {
+        let mut world = World::preloaded(size, 3, rules(detector), seed);
+        world.weigh = 0;
+        let (since, gone) = (world.now, (seed as usize * 7 + 5) % size);
+        world.kill(gone);
+        let mut times = Vec::new();
+        while times.len() < size - 1 && world.now - since < 60.0 * PERIOD {
+            world.run(1.0);
+            times = world.told_of(gone, Standing::Lost, since);
+        }
+        (times.first().map(|ms| ms / PERIOD), (times.len() == size - 1).then(|| times[size - 2] / PERIOD))
+    });
+    let first = found.iter().filter_map(|(first, _)| *first).collect();
+    let all: Vec<f64> = found.iter().filter_map(|(_, all)| *all).collect();
+    println!(
+        "| {detector:?} | {size} | {} | {} | {} of {seeds} |",
+        spread(first),
+        spread(all.clone()),
+        all.len()
+    );
+}
+
+fn accuse(size: usize, detector: Detector, seeds: u64) {
+    for (name, loss, paused) in
+        [("loss 0", 0.0, 0), ("loss 5 %", 0.05, 0), ("loss 20 %", 0.2, 0), ("paused", 0.0, size / 10)]
+    {
+        let (rounds, length) = (20, 3.0);
+        let sums = over(seeds, |seed| {
+            let mut world = World::preloaded(size, 3, rules(detector), seed);
+            world.weigh = 0;
+            world.net.loss = loss;
+            let (mut suspected, mut lost) = (0, 0);
+            let mut now: Vec<usize> = Vec::new();
+            for round in 0..rounds {
+                let before = std::mem::take(&mut now);
+                before.iter().for_each(|at| world.go_on(*at));
+                now = (0..paused).map(|n| (round * paused + n) % size).collect();
+                now.iter().for_each(|at| world.stop(*at));
+                world.run(length);
+                // Of those that are paused, or were a moment ago, it is true.
+                let quiet = |name: &str| now.iter().chain(&before).any(|at| world.nodes[*at].name == name);
+                for (_, told) in world.nodes.iter().flat_map(|node| &node.told) {
+                    if let Told::Member { record, .. } = told
+                        && !quiet(&record.identity.name)
+                    {
+                        suspected += usize::from(record.standing == Standing::Suspected);
+                        lost += usize::from(record.standing == Standing::Lost);
+                    }
+                }
+                world.clear();
+            }
+            (suspected, lost)
+        });
+        // Each view in which a living member is held so counts; periods are seconds.
+        let hours = seeds as f64 * size as f64 * rounds as f64 * length / 3600.0;
+        let (suspected, lost) = sums.iter().fold((0, 0), |(a, b), (c, d)| (a + c, b + d));
+        let rate = |n: usize| n as f64 / hours / size as f64;
+        println!(
+            "| {detector:?} | {size} | {name} | {suspected} ({:.3}) | {lost} ({:.3}) |",
+            rate(suspected),
+            rate(lost)
+        );
+    }
+}
+
+fn heal(size: usize, seeds: u64) {
+    let took = over(seeds, |seed| {
+        let mut world = World::preloaded(size, 3, rules(Detector::OwnTrouble), seed);
+        world.weigh = 0;
+        for _ in 0..6 {
+            let (kind, some) = (world.below(9), 1 + world.below(size / 10 + 1));
+            let picked: Vec<usize> = (0..some).map(|_| world.below(size)).collect();
+            match kind {
+                0 => picked.iter().for_each(|at| world.kill(*at)),
+                1 => picked.iter().for_each(|at| world.stop(*at)),
+                2 => world.net.parts = (0..size).map(|at| at % (2 + seed as usize % 2)).collect(),
+                3 => world.net.loss = 0.2,
+                4 => world.net.deaf = picked.iter().map(|at| (*at, 0.3)).collect(),
+                5 => world.net.cut.extend(picked.iter().map(|at| (*at, (at + 1) % size))),
+                6 => world.net = Net { delay: 5.0, ..Net::default() },
+                7 => (0..size).filter(|at| at % 3 == 1).for_each(|at| world.kill(at)),
+                _ => picked.iter().for_each(|at| {
+                    world.kill(*at);
+                    world.start(*at);
+                }),
+            }
+            let periods = 1.0 + world.below(15) as f64;
+            world.run(periods);
+        }
+        world.net = Net { delay: 5.0, ..Net::default() };
+        let stopped: Vec<usize> = (0..size).filter(|at| world.nodes[*at].stopped).collect();
+        stopped.into_iter().for_each(|at| world.go_on(at));
+        let gone: Vec<usize> = (0..size).filter(|at| world.nodes[*at].fleet.is_none()).collect();
+        gone.into_iter().filter(|at| at % 2 == 0).for_each(|at| world.start(at));
+        let took = world.await_truth(60.0);
+        if took.is_none() {
+            println!("seed {seed}: not in 60 periods: {}", world.untrue());
+        }
+        took
+    });
+    let healed: Vec<f64> = took.iter().flatten().copied().collect();
+    let within = healed.iter().filter(|took| **took <= 15.0).count();
+    println!("| {size} | {} | {} of {seeds} | {within} of {seeds} |", spread(healed.clone()), healed.len());
+}
+
+fn cost(size: usize, detector: Detector, seeds: u64) {
+    let periods = 20.0;
+    let seeds = seeds.min(5);
+    let mut rows = Vec::new();
+    for seed in 0..seeds {
+        let mut world = World::preloaded(size, 3, rules(detector), seed);
+        world.weigh = 101;
+        let began = Instant::now();
+        world.run(periods);
+        let each = size as f64 * periods;
+        rows.push((
+            world.datagrams as f64 / each,
+            world.bytes as f64 / each,
+            began.elapsed().as_secs_f64() * 1e6 / each,
+        ));
+    }
+    let mean = |of: fn(&(f64, f64, f64)) -> f64| rows.iter().map(of).sum::<f64>() / rows.len() as f64;
+    println!(
+        "| {detector:?} | {size} | {:.2} | {:.0} | {:.1} |",
+        mean(|r| r.0),
+        mean(|r| r.1),
+        mean(|r| r.2)
+    );
+}
+
+fn zone_kinds(world: &World) -> Vec<(f64, Kind, String)> {
+    let told = world.nodes.iter().flat_map(|node| &node.told);
+    let verdicts = told.filter_map(|(at, told)| match told {
+        Told::Verdict(change) if change.holds => Some((*at, change.verdict.kind, change.verdict.of.clone())),
+        _ => None,
+    });
+    verdicts.filter(|(_, kind, _)| !matches!(kind, Kind::FleetStart | Kind::OneWay)).collect()
+}
+
+fn judge(size: usize, seeds: u64) {
+    let quiet = over(seeds, |seed| {
+        let mut world = World::preloaded(size, 3, rules(Detector::OwnTrouble), seed);
+        world.weigh = 0;
+        for _ in 0..8 {
+            let at = world.below(size);
+            match world.below(5) {
+                0 => world.kill(at),
+                1 => world.leave(at),
+                2 => world.stop(at),
+                3 => world.net = Net { loss: 0.1, delay: 60.0, ..Net::default() },
+                _ => {
+                    world.kill(at);
+                    world.start(at);
+                }
+            }
+            world.run(4.0);
+        }
+        zone_kinds(&world).len()
+    });
+    let wrong = quiet.iter().filter(|n| **n > 0).count();
+    let found = over(seeds, |seed| {
+        let mut world = World::preloaded(size, 3, rules(Detector::OwnTrouble), seed);
+        world.weigh = 0;
+        let since = world.now;
+        (0..size).filter(|at| at % 3 == 1).for_each(|at| world.kill(at));
+        world.run(25.0);
+        let verdicts = zone_kinds(&world);
+        let right = verdicts.iter().filter(|(_, kind, of)| *kind == Kind::ZoneUnreachable && of == "z1");
+        let mut times: Vec<f64> = right.map(|(at, ..)| (at - since) / PERIOD).collect();
+        times.sort_by(f64::total_cmp);
+        let strange = verdicts.iter().any(|(_, kind, of)| *kind != Kind::ZoneUnreachable || of != "z1");
+        (times.first().copied(), times.last().copied(), times.len() >= size - size.div_ceil(3), strange)
+    });
+    let firsts = found.iter().filter_map(|row| row.0).collect();
+    let lasts = found.iter().filter_map(|row| row.1).collect();
+    let (all, strange) = (found.iter().filter(|row| row.2).count(), found.iter().filter(|row| row.3).count());
+    println!(
+        "| {size} | {wrong} of {seeds} | {} | {} | {all} of {seeds} | {strange} of {seeds} |",
+        spread(firsts),
+        spread(lasts)
+    );
+}
+
+fn main() {
+    let Cli { what, sizes, seeds, .. } = Cli::parse();
+    let began = Instant::now();
+    match what {
+        What::Detect => {
+            println!("| detector | members | first, periods: p50 / p99 / most | all | held lost by all |")
+        }
+        What::Accuse => println!("| detector | members | what | suspected (a view and member-hour) | lost |"),
+        What::Heal => {
+            println!("| members | periods till equal and true: p50 / p99 / most | healed | within 15 |")
+        }
+        What::Cost => println!(
+            "| detector | members | datagrams a member and period | bytes | us of a core, simulation included |"
+        ),
+        What::Judge => println!(
+            "| members | wrong verdicts without a zone's loss | first, periods: p50 / p99 / most | last | judged by all | another verdict |"
+        ),
+    }
+    let all = [Detector::OwnTrouble, Detector::Plain, Detector::Heartbeat];
+    // All to all is n² datagrams: beyond some hundreds nothing else is simulated in the time.
+    let kinds = |size: usize| &all[..if size > 300 { 2 } else { 3 }];
+    for size in sizes {
+        match what {
+            What::Detect => kinds(size).iter().for_each(|detector| detect(size, *detector, seeds)),
+            What::Accuse => all[..2].iter().for_each(|detector| accuse(size, *detector, seeds)),
+            What::Heal => heal(size, seeds),
+            What::Cost => kinds(size).iter().for_each(|detector| cost(size, *detector, seeds)),
+            What::Judge => judge(size, seeds),
+        }
+    }
+    eprintln!("{:.0} s", began.elapsed().as_secs_f64());
+}
--- a/crates/pinepoint-fleet/src/fleet.rs
+++ b/crates/pinepoint-fleet/src/fleet.rs
@@ -313,6 +313,15 @@
         }
     }
 
+    /// A member that knows these already, as one that has been there for long: for simulations of large fleets.
+    #[doc(hidden)]
+    pub fn preload<'a>(&mut self, now: f64, records: impl Iterator<Item = &'a Record>) {
+        for record in records.filter(|record| record.identity.key() != self.own.identity.key()) {
+            self.table.take(now, self.horizon_ms, record);
+        }
+        self.news.clear();
+    }
+
     /// When [`Event::Tick`] is due, ms.
     pub fn next_due(&self) -> f64 {
         self.step_ms
@@ -349,6 +358,23 @@
             && (alone || (now - self.agreed_ms < quiet && !differs))
     }
 
+    /// The view in figures.
+    pub fn figures(&self, now: f64) -> pinepoint_facts::Fleet {
+        let mut figures = pinepoint_facts::Fleet {
+            up: 1,
+            verdicts: self.judge.verdicts().count() as u32,
+            settled: self.is_settled(now),
+            ..Default::default()
+        };
+        for (_, member) in self.table.iter() {
+            figures.up += u32::from(member.record.is_up());
+            figures.suspected +=
+                u32::from(member.record.standing == Standing::Suspected && member.record.is_up());
+            figures.lost += u32::from(member.record.standing == Standing::Lost);
+        }
+        figures
+    }
+
     /// The view.
     pub fn view(&self, now: f64) -> View {
         let seen = |record: &Record, since_ms: f64, load: Option<(Load, f64)>| Seen {
@@ -878,7 +904,8 @@
             && let Some(was) = &was
             && record.start < was.start
         {
-            let forged = Record { start: was.start, incarnation: was.incarnation + 1, ..record.clone() };
+            let (start, identity) = (was.start, was.identity.clone());
+            let forged = Record { start, identity, incarnation: was.incarnation, ..record.clone() };
             self.table.take(now, self.horizon_ms, &forged);
         }
         match self.table.take(now, self.horizon_ms, record) {
--- a/crates/pinepoint-fleet/src/io.rs
+++ b/crates/pinepoint-fleet/src/io.rs
@@ -15,7 +15,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use pinepoint_clock::Clock;
-use pinepoint_facts::Reason;
+use pinepoint_facts::{Observer, Reason, Turn};
 
 use crate::config::Config;
 use crate::fleet::{Action, Event, Fleet, Told, View};
@@ -52,6 +52,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// The rest of the process.
     pub source: Rc<dyn Source>,
+    /// Who is told when the view changes.
+    pub observer: Rc<dyn Observer>,
 }
 
 /// How many datagrams went and came, and why some were not understood.
@@ -79,6 +81,9 @@
     fleet: RefCell<Fleet>,
     clock: Clock,
     source: Rc<dyn Source>,
+    observer: Rc<dyn Observer>,
+    /// What the observer was told last.
+    figures: Cell<pinepoint_facts::Fleet>,
     executor: Rc<LocalExecutor<'static>>,
     snapshots: RefCell<VecDeque<(u64, Rc<[u8]>)>>,
     knocks: Cell<u32>,
@@ -90,7 +95,7 @@
 
 /// Opens the socket and begins to take part.
 pub fn start(config: &Config, parts: Parts) -> io::Result<Rc<Member>> {
-    let Parts { name, cores, seed, clock, executor, source } = parts;
+    let Parts { name, cores, seed, clock, executor, source, observer } = parts;
     if name.len() > NAME_MOST {
         let wrong =
             format!("the comparer's name has {} bytes, and {NAME_MOST} are the most in a fleet", name.len());
@@ -111,6 +116,8 @@
         fleet: RefCell::new(fleet),
         clock,
         source,
+        observer,
+        figures: Cell::default(),
         executor: executor.clone(),
         snapshots: RefCell::default(),
         knocks: Cell::new(0),
@@ -174,6 +181,11 @@
         self.handle(Event::Phase(self.source.phase()));
         self.handle(Event::Load(self.source.load()));
         self.handle(Event::Tick);
+        let now = self.clock.now();
+        let figures = self.fleet.borrow().figures(now);
+        if figures != self.figures.replace(figures) {
+            self.observer.turn(now, Turn::Fleet(figures));
+        }
     }
 
     /// Tells the last word: others need not guess.
--- a/crates/pinepoint-fleet/tests/sim/mod.rs
+++ b/crates/pinepoint-fleet/tests/sim/mod.rs
@@ -45,6 +45,17 @@
     pub twice: f64,
     /// Most delay, ms.
     pub delay: f64,
+    /// What becomes of the datagram of this number, counted from the last [`World::clear`].
+    pub one: Option<(u64, One)>,
+}
+
+/// What becomes of one datagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum One {
+    /// It is lost.
+    Lost,
+    /// It comes so many periods later.
+    Late(f64),
 }
 
 enum Thing {
@@ -126,6 +137,22 @@
         world
     }
 
+    /// The same for large fleets: all know each other from the start.
+    pub fn preloaded(members: usize, zones: usize, rules: Rules, seed: u64) -> World {
+        let mut world = World::new(members, zones, rules, seed);
+        (0..members).for_each(|at| world.start(at));
+        let records: Vec<_> = world.running().map(|(_, fleet)| fleet.own().clone()).collect();
+        let now = world.now;
+        for node in &mut world.nodes {
+            if let Some(fleet) = &mut node.fleet {
+                fleet.preload(now, records.iter());
+            }
+        }
+        world.run(6.0);
+        world.clear();
+        world
+    }
+
     pub fn clear(&mut self) {
         self.nodes.iter_mut().for_each(|node| node.told.clear());
         (self.datagrams, self.bytes) = (0, 0);
@@ -231,13 +258,19 @@
         if to >= self.nodes.len() || self.is_cut(from, to) {
             return;
         }
+        let mut late = 0.0;
+        match self.net.one.filter(|(number, _)| *number == self.datagrams) {
+            Some((_, One::Lost)) => return,
+            Some((_, One::Late(periods))) => late = periods * PERIOD,
+            None => {}
+        }
         let loss = self.net.deaf.get(&to).copied().unwrap_or(0.0).max(self.net.loss);
         if self.chance(loss) {
             return;
         }
         let copies = if self.chance(self.net.twice) { 2 } else { 1 };
         for _ in 0..copies {
-            let delay = 0.2 + self.net.delay * self.below(1000) as f64 / 1000.0;
+            let delay = late + 0.2 + self.net.delay * self.below(1000) as f64 / 1000.0;
             self.push(self.now + delay, Thing::Arrive(to, packet.clone()));
         }
     }
--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod collectd;
+pub mod fleet;
 pub mod graphite;
 pub mod load;
 pub mod machine;
--- a/crates/pinepoint-lab/src/main.rs
+++ b/crates/pinepoint-lab/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use pinepoint_lab::{process, telemetry};
+use pinepoint_lab::{fleet, process, telemetry};
 
 /// Experiments on pinepoint with stand-ins that fail on command; loopback addresses only
 #[derive(Parser)]
@@ -49,11 +49,50 @@
         #[arg(long)]
         json: bool,
     },
+    /// Latency and cost with the view of the fleet off, and on among peers, in turns; prints JSON
+    Fleet {
+        /// The program
+        #[arg(long, default_value = "target/release/pinepoint")]
+        program: PathBuf,
+        /// Length of the load of one run, s
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Turns
+        #[arg(long, default_value_t = 4)]
+        turns: u64,
+        /// Peers: processes beside the one that is loaded
+        #[arg(long, default_value_t = 12)]
+        peers: usize,
+        /// Requests a second as a part of what the engine can do
+        #[arg(long, default_value_t = 0.9)]
+        part: f64,
+        /// The core that the program has for itself
+        #[arg(long)]
+        cpu: Option<usize>,
+    },
 }
 
 fn main() -> ExitCode {
-    let Command::Telemetry { program, earlier, seconds, turns, part, cpu, ways, every, json } =
-        Cli::parse().command;
+    let (program, earlier, seconds, turns, part, cpu, ways, every, json) = match Cli::parse().command {
+        Command::Telemetry { program, earlier, seconds, turns, part, cpu, ways, every, json } => {
+            (program, earlier, seconds, turns, part, cpu, ways, every, json)
+        }
+        Command::Fleet { program, seconds, turns, peers, part, cpu } => {
+            let length = Duration::from_secs(seconds);
+            let options = fleet::Options { program, length, turns, peers, part, cpu };
+            let measured = cpu.map_or(Ok(()), process::stay_off).and_then(|()| fleet::measure(&options));
+            return match measured {
+                Ok(report) => {
+                    println!("{report:#}");
+                    ExitCode::SUCCESS
+                }
+                Err(error) => {
+                    eprintln!("pinepoint-lab: {error}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+    };
     let known = |name: &String| {
         let way = telemetry::WAYS.into_iter().find(|way| format!("{way:?}").eq_ignore_ascii_case(name));
         way.ok_or_else(|| format!("{name} is none of off, good, stalled, dripping, down, restarting"))
--- a/crates/pinepoint-lab/src/telemetry.rs
+++ b/crates/pinepoint-lab/src/telemetry.rs
@@ -59,9 +59,10 @@
     pub every_s: u64,
 }
 
-const CORES: f64 = 4.0;
+pub(crate) const CORES: f64 = 4.0;
 
-fn plan(options: &Options, seed: u64) -> Plan {
+/// The classes that are sent, and the rate that is this part of what the engine can do.
+pub(crate) fn classes(part: f64) -> (Vec<Class>, f64) {
     let class = |name, share, work_ms, keyed, calls| Class { name, share, work_ms, keyed, calls };
     let classes = vec![
         class("quick-match", 0.34, 12.0, false, false),
@@ -69,7 +70,12 @@
         class("thesis-submit", 0.21, 7.0, true, true),
     ];
     let mean_ms: f64 = classes.iter().map(|class| class.share * class.work_ms).sum();
-    let rate = options.part * CORES * 1000.0 / mean_ms;
+    let rate = part * CORES * 1000.0 / mean_ms;
+    (classes, rate)
+}
+
+fn plan(options: &Options, seed: u64) -> Plan {
+    let (classes, rate) = classes(options.part);
     Plan { classes, rate, ajp: 0.25, length: options.length, connections: (12, 60), spread: 0.5, seed }
 }
 
--- a/crates/pinepoint-telemetry/src/io.rs
+++ b/crates/pinepoint-telemetry/src/io.rs
@@ -96,6 +96,7 @@
     due: Cell<bool>,
     cut: (Sender<()>, Receiver<()>),
     last_state: RefCell<State>,
+    fleet: Cell<pinepoint_facts::Fleet>,
     leaving: Cell<Option<f64>>,
     limits: RefCell<HashMap<&'static str, f64>>,
     destinations: [RefCell<Option<Destination>>; DESTINATIONS.len()],
@@ -129,6 +130,7 @@
             due: Cell::new(false),
             cut: async_channel::bounded(1),
             last_state: RefCell::default(),
+            fleet: Cell::default(),
             leaving: Cell::new(None),
             limits: RefCell::default(),
             destinations: Default::default(),
@@ -244,6 +246,7 @@
         let (state_at, module, law_at) = self.schema.state();
         let (memory_kb, descriptors) = self.source.process();
         let leaving = u64::from(self.leaving.get().is_some());
+        let fleet = self.fleet.get();
         let told: [u64; STATE.len()] = [
             state.held,
             state.waiting,
@@ -255,6 +258,11 @@
             memory_kb,
             descriptors,
             leaving,
+            fleet.up.into(),
+            fleet.suspected.into(),
+            fleet.lost.into(),
+            fleet.verdicts.into(),
+            fleet.settled.into(),
         ];
         for (gauge, value) in gauges[state_at..].iter_mut().zip(told) {
             *gauge = value as f64;
@@ -334,6 +342,7 @@
     fn turn(&self, now: f64, turn: Turn) {
         match turn {
             Turn::Up { .. } => {}
+            Turn::Fleet(fleet) => self.fleet.set(fleet),
             Turn::Leaving { kill_ms } => {
                 self.leaving.set(Some(kill_ms));
                 self.notify(Severity::Warning, "drain", "drain begun".into());
--- a/crates/pinepoint-telemetry/src/schema.rs
+++ b/crates/pinepoint-telemetry/src/schema.rs
@@ -110,7 +110,7 @@
 pub(crate) const DISTS: [&str; 4] = ["hold", "run", "total", "call"];
 
 /// The gauges of the core's state, before those of the module.
-pub(crate) const STATE: [&str; 10] = [
+pub(crate) const STATE: [&str; 15] = [
     "held",
     "waiting",
     "running",
@@ -121,6 +121,11 @@
     "memory_kb",
     "descriptors",
     "leaving",
+    "fleet_up",
+    "fleet_suspected",
+    "fleet_lost",
+    "fleet_verdicts",
+    "fleet_settled",
 ];
 
 /// What is told of each destination's delivery.
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -271,6 +271,7 @@
                 clock: clock.clone(),
                 executor: executor.clone(),
                 source: watch.clone(),
+                observer: watch.clone(),
             };
             let member =
                 pinepoint_fleet::io::start(config, parts).map_err(|e| StartError::System("fleet", e))?;
--- a/src/node/fleet.rs
+++ b/src/node/fleet.rs
@@ -72,7 +72,7 @@
                 self.cold_until_ms.set(now_ms + COLD_MS);
             }
             Turn::Leaving { .. } => self.phase.set(Phase::Draining),
-            Turn::Left | Turn::Reached(_) => {}
+            Turn::Left | Turn::Reached(_) | Turn::Fleet(_) => {}
         }
         self.inner.turn(now_ms, turn);
     }
