Ask others at once after a stop of one's own, and correct whoever holds a refuted suspicion

Seen: with a tenth of 100 members paused in turns, living members were still held lost (1.1 a view and member-hour). Checked by who said so: a member that goes on after a pause still held suspicions of others from before it, put off by the gap but not refuted, as the refutations had come and gone meanwhile. At fault: notice_gap in fleet.rs.

Change: after a gap suspicions begin anew and three others are asked for what differs; and a saying that one is suspected or lost, of an incarnation that was refuted, is answered with the refutation.

--- a/crates/pinepoint-fleet/benches/measure.rs
+++ b/crates/pinepoint-fleet/benches/measure.rs
@@ -11,7 +11,7 @@
 use clap::{Parser, ValueEnum};
 use pinepoint_fleet::fleet::{Detector, Rules, Told};
 use pinepoint_fleet::judge::Kind;
-use pinepoint_fleet::member::Standing;
+use pinepoint_fleet::member::{Standing, key};
 use sim::{Net, PERIOD, World};
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
@@ -107,7 +107,7 @@
             let mut world = World::preloaded(size, 3, rules(detector), seed);
             world.weigh = 0;
             world.net.loss = loss;
-            let (mut suspected, mut lost) = (0, 0);
+            let (mut suspected, mut lost, mut first_hand) = (0, 0, 0);
             let mut now: Vec<usize> = Vec::new();
             for round in 0..rounds {
                 let before = std::mem::take(&mut now);
@@ -117,24 +117,29 @@
                 world.run(length);
                 // Of those that are paused, or were a moment ago, it is true.
                 let quiet = |name: &str| now.iter().chain(&before).any(|at| world.nodes[*at].name == name);
-                for (_, told) in world.nodes.iter().flat_map(|node| &node.told) {
+                for (own, told) in
+                    world.nodes.iter().flat_map(|node| node.told.iter().map(|t| (&node.name, &t.1)))
+                {
                     if let Told::Member { record, .. } = told
                         && !quiet(&record.identity.name)
                     {
                         suspected += usize::from(record.standing == Standing::Suspected);
                         lost += usize::from(record.standing == Standing::Lost);
+                        let by = key(own) as u32 | 1;
+                        first_hand += usize::from(record.standing == Standing::Lost && record.by == by);
                     }
                 }
                 world.clear();
             }
-            (suspected, lost)
+            (suspected, lost, first_hand)
         });
         // Each view in which a living member is held so counts; periods are seconds.
         let hours = seeds as f64 * size as f64 * rounds as f64 * length / 3600.0;
-        let (suspected, lost) = sums.iter().fold((0, 0), |(a, b), (c, d)| (a + c, b + d));
+        let sum = |of: fn(&(usize, usize, usize)) -> usize| sums.iter().map(of).sum::<usize>();
+        let (suspected, lost, first_hand) = (sum(|s| s.0), sum(|s| s.1), sum(|s| s.2));
         let rate = |n: usize| n as f64 / hours / size as f64;
         println!(
-            "| {detector:?} | {size} | {name} | {suspected} ({:.3}) | {lost} ({:.3}) |",
+            "| {detector:?} | {size} | {name} | {suspected} ({:.3}) | {lost} ({:.3}) | {first_hand} |",
             rate(suspected),
             rate(lost)
         );
@@ -266,7 +271,9 @@
         What::Detect => {
             println!("| detector | members | first, periods: p50 / p99 / most | all | held lost by all |")
         }
-        What::Accuse => println!("| detector | members | what | suspected (a view and member-hour) | lost |"),
+        What::Accuse => println!(
+            "| detector | members | what | suspected (a view and member-hour) | lost | of these first hand |"
+        ),
         What::Heal => {
             println!("| members | periods till equal and true: p50 / p99 / most | healed | within 15 |")
         }
--- a/crates/pinepoint-fleet/src/fleet.rs
+++ b/crates/pinepoint-fleet/src/fleet.rs
@@ -472,7 +472,11 @@
         self.worse(2);
         self.probes.clear();
         self.relays.clear();
-        self.suspects.values_mut().for_each(|suspicion| suspicion.began_ms += late);
+        // What refuted them meanwhile was not heard: they begin anew, and others are asked for what they hold.
+        self.suspects.values_mut().for_each(|suspicion| suspicion.began_ms = now);
+        for identity in self.some(HELPERS, 0) {
+            self.ask_for_repair(now, identity.address, out);
+        }
         self.quiet_until_ms = now + self.rules.period_ms * self.stretch();
         (self.step_ms, self.probe_ms, self.period_ms) = (now, now, now);
         out.push(Action::Tell(Told::Trouble(late)));
@@ -832,8 +836,24 @@
             (member.heard_ms, member.load, member.refused) = (now, from.load, false);
         }
         let must_refute = !current || member.record.standing != Standing::Alive;
+        let mut outdated = Vec::new();
         for record in &news {
-            self.take(now, record, out);
+            if self.take(now, record, out) == Taken::Old && record.standing != Standing::Alive {
+                outdated.extend(self.saying(record.identity.key(), 0));
+            }
+        }
+        // Who holds gone what has refuted that hears so at once.
+        if !outdated.is_empty() && !matches!(body, Body::Want { .. }) {
+            let mut room = MOST - FRAME;
+            outdated.retain(|record| {
+                let fits = record.size() <= room;
+                room -= if fits { record.size() } else { 0 };
+                fits
+            });
+            out.push(Action::Send(
+                address,
+                Packet { from: self.sender(now), body: Body::Gossip, news: outdated },
+            ));
         }
         if from.digest == self.digest() {
             self.agreed_ms = now;
@@ -893,11 +913,11 @@
     }
 
     /// Takes a saying, whoever it is about.
-    fn take(&mut self, now: f64, record: &Record, out: &mut Vec<Action>) {
+    fn take(&mut self, now: f64, record: &Record, out: &mut Vec<Action>) -> Taken {
         let key = record.identity.key();
         if key == self.own.identity.key() {
             self.about_self(now, record, out);
-            return;
+            return Taken::Known;
         }
         let was = self.table.get(key).map(|member| member.record.clone());
         if self.rules.fault == Some(Fault::OldStart)
@@ -908,7 +928,8 @@
             let forged = Record { start, identity, incarnation: was.incarnation, ..record.clone() };
             self.table.take(now, self.horizon_ms, &forged);
         }
-        match self.table.take(now, self.horizon_ms, record) {
+        let taken = self.table.take(now, self.horizon_ms, record);
+        match taken {
             Taken::News => self.learned(now, key, was.as_ref(), record, out),
             Taken::Known if record.standing == Standing::Suspected => self.confirm(key, record.by),
             Taken::Known | Taken::Old => {}
@@ -921,6 +942,7 @@
                 out.push(Action::Tell(Told::Disbelieved(Disbelief::Full, name)));
             }
         }
+        taken
     }
 
     fn learned(&mut self, now: f64, key: u64, was: Option<&Record>, record: &Record, out: &mut Vec<Action>) {
@@ -1056,6 +1078,10 @@
             return;
         }
         (self.repaired_ms, self.differed) = (now, None);
+        self.ask_for_repair(now, with, out);
+    }
+
+    fn ask_for_repair(&mut self, now: f64, with: SocketAddr, out: &mut Vec<Action>) {
         let buckets = self.table.digests(&self.own).iter().map(|digest| *digest as u32).collect();
         self.send(now, (with, None), Body::Sync { buckets }, out);
     }
