--- a/crates/pinepoint-fleet/src/fleet.rs
+++ b/crates/pinepoint-fleet/src/fleet.rs
@@ -6,7 +6,7 @@
 //! confirmations, the accused is told at once. Beside these: starts, digests with repair by buckets, lost members that are
 //! asked again, and news spread on their own between probes while there are any.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -252,6 +252,8 @@
     news: BTreeMap<u64, u32>,
     trouble: u32,
     unanswered: u32,
+    /// Members that did not answer directly, twice or more in a row.
+    dubious: BTreeSet<u64>,
     quiet_until_ms: f64,
     seq: u32,
     step_ms: f64,
@@ -298,6 +300,7 @@
             news: BTreeMap::from([(own_key, 0)]),
             trouble: 0,
             unanswered: 0,
+            dubious: BTreeSet::new(),
             quiet_until_ms: f64::NEG_INFINITY,
             seq: 0,
             step_ms: now + rules.period_ms / STEPS * (first - now) / rules.period_ms,
@@ -350,7 +353,7 @@
     /// Whether nothing changes and those heard lately hold the same.
     pub fn is_settled(&self, now: f64) -> bool {
         let quiet = QUIET * self.rules.period_ms;
-        let alone = !self.table.iter().any(|(_, member)| member.record.is_up());
+        let alone = self.table.up() == 0;
         let differs = self.differed.is_some_and(|(at, ..)| now - at < quiet);
         now - self.changed_ms >= quiet
             && self.suspects.is_empty()
@@ -360,19 +363,13 @@
 
     /// The view in figures.
     pub fn figures(&self, now: f64) -> pinepoint_facts::Fleet {
-        let mut figures = pinepoint_facts::Fleet {
-            up: 1,
+        pinepoint_facts::Fleet {
+            up: self.table.up() as u32 + 1,
+            suspected: self.suspects.len() as u32,
+            lost: self.table.lost().len() as u32,
             verdicts: self.judge.verdicts().count() as u32,
             settled: self.is_settled(now),
-            ..Default::default()
-        };
-        for (_, member) in self.table.iter() {
-            figures.up += u32::from(member.record.is_up());
-            figures.suspected +=
-                u32::from(member.record.standing == Standing::Suspected && member.record.is_up());
-            figures.lost += u32::from(member.record.standing == Standing::Lost);
         }
-        figures
     }
 
     /// The view.
@@ -430,7 +427,7 @@
     }
 
     fn up(&self) -> usize {
-        self.table.iter().filter(|(_, member)| member.record.is_up()).count()
+        self.table.up()
     }
 
     /// Some members that are up, other than this one, each once.
@@ -616,6 +613,8 @@
         if forgotten > 0 {
             self.changed_ms = now;
         }
+        let table = &self.table;
+        self.dubious.retain(|key| table.get(*key).is_some_and(|member| member.unanswered >= 2));
         let mut changes = Vec::new();
         let identity = self.own.identity.clone();
         let own = Own {
@@ -623,6 +622,8 @@
             up_ms: now - self.began_ms,
             in_trouble: now < self.quiet_until_ms,
             unanswered: self.unanswered,
+            suspected: self.suspects.len(),
+            dubious: &self.dubious,
         };
         self.judge.judge(now, own, &self.table, &mut changes);
         out.extend(changes.into_iter().map(|change| Action::Tell(Told::Verdict(change))));
@@ -641,16 +642,13 @@
                 self.ping(now, (seed, None), out);
             }
         }
-        let lost: Vec<u64> = self
-            .table
-            .iter()
-            .filter(|(_, m)| m.record.standing == Standing::Lost && m.record.phase != Phase::Left)
-            .map(|(key, _)| key)
-            .collect();
+        let lost = self.table.lost().len();
         // As many as are up share the work.
-        if !lost.is_empty() && (up < 2 * lost.len() || self.below(2) == 0) {
-            let key = lost[self.below(lost.len())];
-            if let Some(identity) = self.table.identity(key).cloned() {
+        if lost > 0 && (up < 2 * lost || self.below(2) == 0) {
+            let at = self.below(lost);
+            let key = self.table.lost().iter().nth(at).copied();
+            if let Some((key, identity)) = key.and_then(|key| Some((key, self.table.identity(key).cloned()?)))
+            {
                 self.ping(now, (identity.address, Some(key)), out);
             }
         }
@@ -726,9 +724,7 @@
             let silent = probe.helpers.saturating_sub(probe.nacks);
             self.worse(silent.min(1));
             self.unanswered = if probe.nacks == 0 { self.unanswered + 1 } else { 0 };
-            if let Some(member) = self.table.get_mut(probe.target) {
-                member.unanswered += 1;
-            }
+            self.note_direct(probe.target, false);
             if !self.minds_itself() || now >= self.quiet_until_ms {
                 self.accuse(now, probe.target, out);
             }
@@ -895,15 +891,24 @@
         }
     }
 
+    /// Whether it answered directly.
+    fn note_direct(&mut self, key: u64, answered: bool) {
+        let Some(member) = self.table.get_mut(key) else { return };
+        member.unanswered = if answered { 0 } else { member.unanswered + 1 };
+        if member.unanswered >= 2 {
+            self.dubious.insert(key);
+        } else {
+            self.dubious.remove(&key);
+        }
+    }
+
     fn acked(&mut self, now: f64, from: u64, seq: u32, out: &mut Vec<Action>) {
         if let Some(at) = self.probes.iter().position(|probe| probe.seq == seq) {
             let probe = self.probes.swap_remove(at);
             self.trouble = self.trouble.saturating_sub(1);
             self.unanswered = 0;
-            if let Some(member) = self.table.get_mut(probe.target) {
-                // Through a helper: it lives, and the direct way does not go.
-                member.unanswered = if probe.target == from { 0 } else { member.unanswered + 1 };
-            }
+            // Through a helper: it lives, and the direct way does not go.
+            self.note_direct(probe.target, probe.target == from);
         }
         if let Some(at) = self.relays.iter().position(|relay| relay.seq == seq)
             && let Some(relay) = self.relays.remove(at)
@@ -963,7 +968,7 @@
         } else {
             self.suspects.remove(&key);
         }
-        if new && record.is_up() {
+        if new && record.is_up() && self.order.len() < 2 * self.table.len() {
             let at = self.below(self.order.len() + 1);
             self.order.insert(at, key);
         }
--- a/crates/pinepoint-fleet/src/judge.rs
+++ b/crates/pinepoint-fleet/src/judge.rs
@@ -2,7 +2,7 @@
 //! who am cut off, does the whole fleet start anew. It owns the verdicts, their evidence and their hold-down; it must never
 //! do I/O, read a clock or change what is known of a member.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pinepoint_facts::reasons;
 use serde::Serialize;
@@ -114,6 +114,10 @@
     pub in_trouble: bool,
     /// Questions in a row that nobody answered.
     pub unanswered: u32,
+    /// Members that it holds suspected.
+    pub suspected: usize,
+    /// Members that did not answer it directly, twice or more in a row.
+    pub dubious: &'a BTreeSet<u64>,
 }
 
 struct Zone {
@@ -159,9 +163,17 @@
     /// Judges the table as it is now. To be called once a period.
     pub fn judge(&mut self, now: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
         let window = self.rules.stroke * self.period_ms;
+        // Where all answer there is nothing to judge, however large the fleet.
+        let all_well = table.lost().is_empty()
+            && own.suspected == 0
+            && own.unanswered < 2
+            && self.gone.is_empty()
+            && self.cut_ms.is_none();
         if !own.in_trouble {
-            self.judge_zones(now, window, own, table, out);
-            self.judge_links(now, table, out);
+            if !all_well {
+                self.judge_zones(now, window, own, table, out);
+            }
+            self.judge_links(now, own, table, out);
         }
         self.judge_start(now, own, table, out);
         let hold = self.rules.hold * self.period_ms;
@@ -282,9 +294,9 @@
         }
     }
 
-    fn judge_links(&mut self, now: f64, table: &Table, out: &mut Vec<Change>) {
+    fn judge_links(&mut self, now: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
         let lately = 4.0 * self.period_ms;
-        for (_, member) in table.iter() {
+        for member in own.dubious.iter().filter_map(|key| table.get(*key)) {
             let heard = now - member.heard_ms < lately;
             if member.unanswered >= 2 && heard && member.record.is_up() {
                 let name = member.record.identity.name.clone();
--- a/crates/pinepoint-fleet/src/table.rs
+++ b/crates/pinepoint-fleet/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of members: who is known, which saying about each is the latest, and the digests of all that. It owns the
 //! bound on members and the horizon of starts; it must never do I/O, read a clock or decide whom to ask.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::member::{Identity, Load, Phase, Record, Standing};
@@ -62,6 +62,9 @@
     members: BTreeMap<u64, Member>,
     most: usize,
     buckets: [u64; BUCKETS],
+    /// Kept as sayings come, so that a fleet in which nothing happens costs nothing that grows with it.
+    up: usize,
+    lost: BTreeSet<u64>,
 }
 
 /// The bucket of a key.
@@ -72,7 +75,7 @@
 impl Table {
     /// An empty table for at most so many members.
     pub fn new(most: usize) -> Self {
-        Table { members: BTreeMap::new(), most, buckets: [0; BUCKETS] }
+        Table { members: BTreeMap::new(), most, buckets: [0; BUCKETS], up: 0, lost: BTreeSet::new() }
     }
 
     /// The member of this key.
@@ -101,6 +104,16 @@
         self.members.len()
     }
 
+    /// How many are there, as far as is believed.
+    pub fn up(&self) -> usize {
+        self.up
+    }
+
+    /// Those that are lost and did not leave.
+    pub fn lost(&self) -> &BTreeSet<u64> {
+        &self.lost
+    }
+
     /// Whether nobody is known.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
@@ -137,7 +150,9 @@
             self.buckets[bucket(key)] ^= was.hash() ^ record.hash();
             let identity =
                 if was.identity == record.identity { was.identity.clone() } else { record.identity.clone() };
+            let was_up = member.record.is_up();
             member.record = Record { identity, ..record.clone() };
+            self.count(key, was_up, Some(record));
             return Taken::News;
         }
         if self.members.len() >= self.most && !self.make_room() {
@@ -154,9 +169,21 @@
             returned: Returned::Never,
         };
         self.members.insert(key, member);
+        self.count(key, false, Some(record));
         Taken::News
     }
 
+    /// Keeps the counts, where one that was up or not is now what this says, or forgotten.
+    fn count(&mut self, key: u64, was_up: bool, now: Option<&Record>) {
+        self.up -= usize::from(was_up);
+        self.up += usize::from(now.is_some_and(Record::is_up));
+        if now.is_some_and(|record| record.standing == Standing::Lost && record.phase != Phase::Left) {
+            self.lost.insert(key);
+        } else {
+            self.lost.remove(&key);
+        }
+    }
+
     /// Gives up the member that is gone for longest; tells whether there was one.
     fn make_room(&mut self) -> bool {
         let gone = self.members.iter().filter(|(_, member)| !member.record.is_up());
@@ -167,11 +194,15 @@
     fn remove(&mut self, key: u64) -> bool {
         let Some(member) = self.members.remove(&key) else { return false };
         self.buckets[bucket(key)] ^= member.record.hash();
+        self.count(key, member.record.is_up(), None);
         true
     }
 
     /// Forgets who left or was lost before these times, ms.
     pub fn forget(&mut self, left_before: f64, lost_before: f64) -> usize {
+        if self.up == self.members.len() {
+            return 0;
+        }
         let over = |member: &Member| match (member.record.phase, member.record.standing) {
             (Phase::Left, _) => member.since_ms < left_before,
             (_, Standing::Lost) => member.since_ms < lost_before,
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -213,6 +213,11 @@
         serde_json::from_slice(&output.stdout).ok()
     }
 
+    /// Where a member's datagrams come in, behind the switch.
+    pub fn listen(&self, at: usize) -> SocketAddr {
+        self.members[at].listen
+    }
+
     /// Runs a script.
     pub fn run(&mut self, script: &str) -> Result<(), Broken> {
         for line in script.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -132,3 +132,52 @@
          n3 wait verdict fleet-start",
     );
 }
+
+#[test]
+fn a_zone_that_is_killed_is_judged_gone_and_comes_back() {
+    let mut course = course("zone", 6, 3);
+    course.all_start(6);
+    course.run(
+        "n2 kill
+         n5 kill
+         n1 wait verdict zone-unreachable z2
+         n4 wait verdict zone-unreachable z2
+         n1 wait n2 lost
+         n1 never verdict self-cut-off
+         n2 start
+         n5 start
+         all wait settled",
+    );
+}
+
+#[test]
+fn garbage_is_not_answered_and_does_no_harm() {
+    let mut course = course("garbage", 3, 1);
+    course.all_start(3);
+    let to = course.0.listen(0);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(std::time::Duration::from_millis(300))).expect("set");
+    for n in 0..400_usize {
+        let bytes: Vec<u8> = (0..n * 7 % 2000).map(|at| (at * 31 + n * 17) as u8 ^ (n % 3) as u8).collect();
+        let _ = socket.send_to(&bytes, to);
+    }
+    assert!(socket.recv(&mut [0; 2000]).is_err(), "what is not understood is not answered");
+    course.run("all wait settled");
+    let view = course.0.view(0).expect("it answers");
+    assert_eq!(view["members"].as_array().map(Vec::len), Some(3), "{view}");
+}
+
+#[test]
+fn one_alone_settles_and_others_find_it_one_by_one() {
+    let mut course = course("alone", 3, 1);
+    course.run(
+        "n1 start
+         all wait settled
+         n2 start
+         all wait settled
+         n3 start
+         all wait settled
+         n1 wait n2 serving
+         n3 wait n1 serving",
+    );
+}
