--- a/crates/pinepoint-fleet/benches/measure.rs
+++ b/crates/pinepoint-fleet/benches/measure.rs
@@ -193,6 +193,11 @@
     for seed in 0..seeds {
         let mut world = World::preloaded(size, 3, rules(detector), seed);
         world.weigh = 101;
+        // Past the first minutes, in which each member judges whether the whole fleet starts.
+        if detector != Detector::Heartbeat {
+            world.run(130.0);
+            world.clear();
+        }
         let began = Instant::now();
         world.run(periods);
         let each = size as f64 * periods;
