Give each process of a rig its own address, and widen a stroke by own trouble

Once a member never answered: at fault free() in rig.rs, which lets a port go before the process binds it, while two rigs of one test process share addresses. Once one that was cut off did not say so: at fault the window of judge_zones, 12 periods, while its own trouble stretched its questions up to nine times. Excluded: lost datagrams (the view was right).

Change: addresses are counted over all rigs of a process; the window is stretched as the waits are.

--- a/crates/pinepoint-fleet/src/fleet.rs
+++ b/crates/pinepoint-fleet/src/fleet.rs
@@ -622,6 +622,7 @@
             up_ms: now - self.began_ms,
             in_trouble: now < self.quiet_until_ms,
             unanswered: self.unanswered,
+            stretch: self.stretch(),
             suspected: self.suspects.len(),
             dubious: &self.dubious,
         };
--- a/crates/pinepoint-fleet/src/judge.rs
+++ b/crates/pinepoint-fleet/src/judge.rs
@@ -114,6 +114,8 @@
     pub in_trouble: bool,
     /// Questions in a row that nobody answered.
     pub unanswered: u32,
+    /// How much its own trouble stretches its waits, from 1: what goes at once is seen to go over so much longer.
+    pub stretch: f64,
     /// Members that it holds suspected.
     pub suspected: usize,
     /// Members that did not answer it directly, twice or more in a row.
@@ -162,7 +164,7 @@
 
     /// Judges the table as it is now. To be called once a period.
     pub fn judge(&mut self, now: f64, own: Own<'_>, table: &Table, out: &mut Vec<Change>) {
-        let window = self.rules.stroke * self.period_ms;
+        let window = self.rules.stroke * self.period_ms * own.stretch;
         // Where all answer there is nothing to judge, however large the fleet.
         let all_well = table.lost().is_empty()
             && own.suspected == 0
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -25,6 +25,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -110,9 +111,14 @@
     places.iter().collect()
 }
 
+/// Members of all rigs of this process: each has an address of its own, so that no two are given one port.
+static MEMBERS: AtomicUsize = AtomicUsize::new(0);
+
 /// A port of loopback that nothing listens on now, at an address of its own: systems hand out ports at 127.0.0.1.
-fn free(number: usize) -> io::Result<SocketAddr> {
-    let host = [127, 77, (std::process::id() % 250) as u8, 1 + (number % 250) as u8];
+fn free() -> io::Result<SocketAddr> {
+    let number = MEMBERS.fetch_add(1, Ordering::Relaxed);
+    let (high, low) = ((number / 250 % 100) as u8, 1 + (number % 250) as u8);
+    let host = [127, 77 + high, (std::process::id() % 250) as u8, low];
     TcpListener::bind((std::net::Ipv4Addr::from(host), 0))?.local_addr()
 }
 
@@ -135,7 +141,7 @@
             members.push(Member {
                 name: format!("n{}", at + 1),
                 zone: format!("z{}", at % options.zones.max(1) + 1),
-                listen: free(at)?,
+                listen: free()?,
                 engine: places.engine,
                 child: None,
                 stopped: false,
