Say each thing of the fleet once: a record's life and state, its digest, the platform's file

Need: reading the whole change again showed the same logic in two or three places: which life a record speaks of, the word for a member's state, four mixes of a digest that every message then folded from 128 buckets again, a socket towards one address, the platform's JSON in the lab's two ways to start the program, folders removed by hand beside a guard, and the stand-ins' ends of runs.

Change: Record::life and Record::state; the table keeps its digest as sayings come; towards() in io.rs; Platform, Folder and Switch::seeds in the lab, whose main is a match of two short arms; run_end and taken_out in the tests. A comment of the judge promised that a verdict is not made anew for a while after it ended, which nothing did: the comment goes.

--- a/crates/pinepoint-fleet/src/fleet.rs
+++ b/crates/pinepoint-fleet/src/fleet.rs
@@ -303,7 +303,7 @@
             dubious: BTreeSet::new(),
             quiet_until_ms: f64::NEG_INFINITY,
             seq: 0,
-            step_ms: now + rules.period_ms / STEPS * (first - now) / rules.period_ms,
+            step_ms: now + (first - now) / STEPS,
             probe_ms: first,
             period_ms: first,
             changed_ms: now,
@@ -342,7 +342,7 @@
 
     /// Digest of its view.
     pub fn digest(&self) -> u64 {
-        self.table.digests(&self.own).iter().fold(0, |all, bucket| all ^ bucket)
+        self.table.digest(&self.own)
     }
 
     /// The verdicts that hold.
@@ -377,10 +377,7 @@
         let seen = |record: &Record, since_ms: f64, load: Option<(Load, f64)>| Seen {
             name: record.identity.name.clone(),
             zone: record.identity.zone.clone(),
-            state: match record.standing {
-                Standing::Alive => pinepoint_facts::Reason::word(record.phase),
-                standing => pinepoint_facts::Reason::word(standing),
-            },
+            state: record.state(),
             start: record.start,
             age_ms: (now - since_ms).max(0.0),
             address: record.identity.address,
@@ -426,10 +423,6 @@
         (self.random.next_u64() % n.max(1) as u64) as usize
     }
 
-    fn up(&self) -> usize {
-        self.table.up()
-    }
-
     /// Some members that are up, other than this one, each once.
     fn some(&mut self, n: usize, but: u64) -> Vec<Rc<Identity>> {
         let mut keys: Vec<u64> = self
@@ -633,7 +626,7 @@
     /// Asks seeds while nobody is known, and now and then one that is nobody's address: what was never one fleet, or fell
     /// apart for longer than the lost are kept, finds together through them. Of the lost one is asked again now and then.
     fn find_others(&mut self, now: f64, out: &mut Vec<Action>) {
-        let up = self.up();
+        let up = self.table.up();
         let asked = if up == 0 { SEEDS } else { usize::from(self.below(10) == 0) };
         let first = self.below(self.seeds.len());
         for at in (0..self.seeds.len()).take(asked) {
@@ -826,9 +819,8 @@
         }
         let address = from.record.identity.address;
         self.take(now, &from.record, out);
-        let life = |record: &Record| (record.start, record.identity.instance);
         let Some(member) = self.table.get_mut(key) else { return };
-        let current = life(&member.record) == life(&from.record);
+        let current = member.record.life() == from.record.life();
         if current {
             (member.heard_ms, member.load, member.refused) = (now, from.load, false);
         }
@@ -954,13 +946,12 @@
     fn learned(&mut self, now: f64, key: u64, was: Option<&Record>, record: &Record, out: &mut Vec<Action>) {
         self.changed_ms = now;
         self.news.insert(key, 0);
-        let life = |record: &Record| (record.start, record.identity.instance);
-        let new = was.is_none_or(|was| life(was) != life(record));
+        let new = was.is_none_or(|was| was.life() != record.life());
         if record.standing == Standing::Suspected {
             if new || !self.suspects.contains_key(&key) {
                 self.begin_suspicion(now, key, record.by);
                 // A few look for themselves at once, however large the fleet.
-                let n = self.up() as f64;
+                let n = self.table.up() as f64;
                 if record.by != self.by() && (self.below(1 << 20) as f64) < CHECKERS / n * f64::from(1 << 20)
                 {
                     self.probe(now, key, out);
--- a/crates/pinepoint-fleet/src/io.rs
+++ b/crates/pinepoint-fleet/src/io.rs
@@ -262,11 +262,14 @@
         match told {
             Told::Member { record, new } => {
                 let (name, zone) = (&record.identity.name, &record.identity.zone);
-                let state = match record.standing {
-                    Standing::Alive => record.phase.word(),
-                    standing => standing.word(),
-                };
-                tracing::info!(name, zone, reason = state, start = record.start, new, "fleet-member");
+                tracing::info!(
+                    name,
+                    zone,
+                    reason = record.state(),
+                    start = record.start,
+                    new,
+                    "fleet-member"
+                );
                 if record.standing == Standing::Suspected {
                     self.knock(record.identity.address);
                 }
@@ -293,11 +296,8 @@
         self.knocks.set(self.knocks.get() + 1);
         let (member, period) = (self.clone(), Duration::from_secs_f64(self.config.period_ms / 1000.0));
         let knock = async move {
-            let any: SocketAddr =
-                if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0; 16], 0).into() };
             let asked = async {
-                let socket = Async::<UdpSocket>::bind(any)?;
-                socket.get_ref().connect(address)?;
+                let socket = Async::new(towards(address)?)?;
                 socket.send(&[]).await?;
                 socket.recv(&mut [0; 1]).await
             };
@@ -315,6 +315,14 @@
     }
 }
 
+/// A socket of its own that hears that address only, its system's refusals included.
+fn towards(address: SocketAddr) -> io::Result<UdpSocket> {
+    let any: SocketAddr = if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0; 16], 0).into() };
+    let socket = UdpSocket::bind(any)?;
+    socket.connect(address)?;
+    Ok(socket)
+}
+
 /// Why there is no view.
 #[derive(Debug)]
 pub enum AskError {
@@ -350,9 +358,7 @@
 /// Asks the member at this address for its view, as JSON. Each page is asked for up to `tries` times, `wait` each.
 pub fn ask(fleet: &str, at: SocketAddr, tries: u32, wait: Duration) -> Result<serde_json::Value, AskError> {
     let codec = Codec::new(fleet);
-    let any: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0; 16], 0).into() };
-    let socket = UdpSocket::bind(any)?;
-    socket.connect(at)?;
+    let socket = towards(at)?;
     socket.set_read_timeout(Some(wait))?;
     let id = RandomState::new().hash_one((std::process::id(), socket.local_addr()?));
     let (mut text, mut page) = (Vec::new(), 0);
--- a/crates/pinepoint-fleet/src/judge.rs
+++ b/crates/pinepoint-fleet/src/judge.rs
@@ -60,7 +60,7 @@
     pub part: f64,
     /// Fewer members than this are no zone and no fleet.
     pub least: usize,
-    /// A verdict holds at least so long once it is made, and is not made anew for as long after it ended.
+    /// A verdict holds at least so long once it is made.
     pub hold: f64,
     /// A fleet that starts anew does so within this time.
     pub young: f64,
@@ -239,10 +239,9 @@
         let cut_off = all > self.rules.least && (is_deaf || most);
         if !cut_off {
             self.cut_ms = None;
-        } else if self.cut_ms.is_none() {
-            self.cut_ms = Some(zones.values().map(|zone| zone.first_gone_ms).fold(now, f64::min));
-        }
-        if cut_off {
+        } else {
+            let first = zones.values().map(|zone| zone.first_gone_ms).fold(now, f64::min);
+            self.cut_ms.get_or_insert(first);
             let evidence = if is_deaf {
                 format!(
                     "nobody of {all} members heard for {silent:.0} ms, {} questions unanswered",
@@ -259,8 +258,7 @@
             let stroke = zone.all >= self.rules.least && part(zone.gone, zone.all) >= self.rules.part;
             if !stroke || *name == own.zone || cut_off || answering == 0 || name.is_empty() {
                 // What is said of a zone while it is I who am cut off, or once it is back, is over.
-                let over = cut_off || zone.gone == 0;
-                if over {
+                if cut_off || zone.gone == 0 {
                     self.gone.remove(*name);
                     self.withdraw(name, None, out);
                 }
@@ -268,12 +266,12 @@
             }
             self.gone.entry((*name).to_owned()).or_insert(zone.first_gone_ms);
             let Zone { all, gone, refused, heard, restarted, .. } = *zone;
-            let (kind, sure) = if heard > 0 {
-                (Kind::ZoneCutOff, part(gone, all))
+            let kind = if heard > 0 {
+                Kind::ZoneCutOff
             } else if 2 * refused >= gone || restarted > 0 {
-                (Kind::ZoneLost, part(gone, all))
+                Kind::ZoneLost
             } else {
-                (Kind::ZoneUnreachable, part(gone, all))
+                Kind::ZoneUnreachable
             };
             let evidence = format!(
                 "{gone} of {all} stopped answering; of these {refused} have nobody listening, {heard} were heard since, \
@@ -281,7 +279,7 @@
             );
             // A better founded verdict takes the place of a poorer one about the same zone.
             self.withdraw(name, Some(kind), out);
-            self.see(now, kind, (*name).to_owned(), sure, evidence, out);
+            self.see(now, kind, (*name).to_owned(), part(gone, all), evidence, out);
         }
     }
 
--- a/crates/pinepoint-fleet/src/member.rs
+++ b/crates/pinepoint-fleet/src/member.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pinepoint_facts::reasons;
+use pinepoint_facts::{Reason, reasons};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -33,6 +33,20 @@
     }
 }
 
+#[cfg(test)]
+impl Identity {
+    /// One that takes as many bytes as any can.
+    pub(crate) fn largest() -> Self {
+        Identity {
+            name: "n".repeat(NAME_MOST),
+            zone: "z".repeat(NAME_MOST),
+            address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("an address"),
+            cores: u16::MAX,
+            instance: u32::MAX,
+        }
+    }
+}
+
 /// A short form of a name.
 pub fn key(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
@@ -97,6 +111,19 @@
         (self.start, self.identity.instance, left, self.incarnation, self.standing)
     }
 
+    /// Which process it speaks of: a start, and the instance that tells two of one start apart.
+    pub fn life(&self) -> (u64, u32) {
+        (self.start, self.identity.instance)
+    }
+
+    /// The word for its state: what it tells of itself while it answers, else what is believed.
+    pub fn state(&self) -> &'static str {
+        match self.standing {
+            Standing::Alive => self.phase.word(),
+            standing => standing.word(),
+        }
+    }
+
     /// Whether it is there, as far as is believed: not left and not lost.
     pub fn is_up(&self) -> bool {
         self.phase != Phase::Left && self.standing != Standing::Lost
@@ -174,14 +201,7 @@
     #[test]
     fn a_record_never_takes_more_than_it_says() {
         let mut largest = record(u64::MAX, u32::MAX, Phase::Left, Standing::Lost);
-        let identity = Identity {
-            name: "n".repeat(NAME_MOST),
-            zone: "z".repeat(NAME_MOST),
-            address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("an address"),
-            cores: u16::MAX,
-            instance: u32::MAX,
-        };
-        largest.identity = Rc::new(identity);
+        largest.identity = Rc::new(Identity::largest());
         largest.by = u32::MAX;
         let bytes = postcard::to_allocvec(&largest).expect("encoded");
         assert!(bytes.len() <= largest.size(), "{} over {}", bytes.len(), largest.size());
--- a/crates/pinepoint-fleet/src/table.rs
+++ b/crates/pinepoint-fleet/src/table.rs
@@ -62,6 +62,8 @@
     members: BTreeMap<u64, Member>,
     most: usize,
     buckets: [u64; BUCKETS],
+    /// Of all buckets.
+    digest: u64,
     /// Kept as sayings come, so that a fleet in which nothing happens costs nothing that grows with it.
     up: usize,
     lost: BTreeSet<u64>,
@@ -75,7 +77,14 @@
 impl Table {
     /// An empty table for at most so many members.
     pub fn new(most: usize) -> Self {
-        Table { members: BTreeMap::new(), most, buckets: [0; BUCKETS], up: 0, lost: BTreeSet::new() }
+        Table {
+            members: BTreeMap::new(),
+            most,
+            buckets: [0; BUCKETS],
+            digest: 0,
+            up: 0,
+            lost: BTreeSet::new(),
+        }
     }
 
     /// The member of this key.
@@ -126,6 +135,17 @@
         buckets
     }
 
+    /// Digest of all, with this member's own saying about itself in it.
+    pub fn digest(&self, own: &Record) -> u64 {
+        self.digest ^ own.hash()
+    }
+
+    /// Keeps the digests where the saying about a member changes by this.
+    fn mix(&mut self, key: u64, change: u64) {
+        self.buckets[bucket(key)] ^= change;
+        self.digest ^= change;
+    }
+
     /// Takes a saying, if it is later than what is known.
     pub fn take(&mut self, now: f64, horizon_ms: f64, record: &Record) -> Taken {
         if record.start as f64 > horizon_ms + START_AHEAD_MS {
@@ -137,7 +157,7 @@
                 return if record.rank() == member.record.rank() { Taken::Known } else { Taken::Old };
             }
             let was = &member.record;
-            let new_life = (was.start, was.identity.instance) != (record.start, record.identity.instance);
+            let new_life = was.life() != record.life();
             if was.standing == Standing::Lost && record.is_up() {
                 member.returned = if new_life { Returned::NewStart } else { Returned::SameStart };
             }
@@ -147,18 +167,19 @@
             if new_life || was.standing != record.standing || was.phase != record.phase {
                 (member.since_ms, member.unanswered) = (now, 0);
             }
-            self.buckets[bucket(key)] ^= was.hash() ^ record.hash();
+            let change = was.hash() ^ record.hash();
             let identity =
                 if was.identity == record.identity { was.identity.clone() } else { record.identity.clone() };
             let was_up = member.record.is_up();
             member.record = Record { identity, ..record.clone() };
+            self.mix(key, change);
             self.count(key, was_up, Some(record));
             return Taken::News;
         }
         if self.members.len() >= self.most && !self.make_room() {
             return Taken::Full;
         }
-        self.buckets[bucket(key)] ^= record.hash();
+        self.mix(key, record.hash());
         let member = Member {
             record: record.clone(),
             since_ms: now,
@@ -193,7 +214,7 @@
 
     fn remove(&mut self, key: u64) -> bool {
         let Some(member) = self.members.remove(&key) else { return false };
-        self.buckets[bucket(key)] ^= member.record.hash();
+        self.mix(key, member.record.hash());
         self.count(key, member.record.is_up(), None);
         true
     }
--- a/crates/pinepoint-fleet/src/wire.rs
+++ b/crates/pinepoint-fleet/src/wire.rs
@@ -239,13 +239,7 @@
     #[test]
     fn the_largest_frame_leaves_the_room_that_is_counted_on() {
         let mut largest = packet();
-        let identity = Identity {
-            name: "n".repeat(NAME_MOST),
-            zone: "z".repeat(NAME_MOST),
-            address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("an address"),
-            cores: u16::MAX,
-            instance: u32::MAX,
-        };
+        let identity = Identity::largest();
         let record = &mut largest.from.record;
         (record.identity, record.start, record.incarnation) = (Rc::new(identity.clone()), u64::MAX, u32::MAX);
         (largest.from.digest, largest.from.known) = (u64::MAX, u32::MAX);
--- a/crates/pinepoint-lab/src/fleet.rs
+++ b/crates/pinepoint-lab/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::load::{self, Plan};
 use crate::machine::Machine;
-use crate::process::{Process, Start};
+use crate::process::{Folder, Process, Start};
 use crate::rig::{self, Rig};
 use crate::telemetry::{CORES, classes};
 
@@ -49,14 +49,10 @@
 ) -> io::Result<Outcome> {
     let machine = Machine { cores: CORES, call: Duration::from_millis(3) };
     let (places, _) = machine.start(executor)?;
-    let folder = std::env::temp_dir().join(format!("pinepoint-lab-fleet-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let edge = on.map(|rig| {
-        let seeds: Vec<String> = rig.switch.ports.iter().take(3).map(|port| format!("\"{port}\"")).collect();
-        format!("[fleet]\nlisten = \"127.0.0.1:0\"\nseeds = [{}]\n", seeds.join(", "))
-    });
+    let folder = Folder::new("fleet")?;
+    let edge = on.map(|rig| format!("[fleet]\nlisten = \"127.0.0.1:0\"\nseeds = {}\n", rig.switch.seeds()));
     let start =
-        Start { program: &options.program, folder: &folder, places, cores: CORES, edge, cpu: options.cpu };
+        Start { program: &options.program, folder: &folder.0, places, cores: CORES, edge, cpu: options.cpu };
     let process = Process::start(&start)?;
     Timer::after(Duration::from_secs(2)).await;
     let before = process.cost();
@@ -67,17 +63,15 @@
     let after = process.cost();
     let ms = |q: f64| seen.latency.value_at_quantile(q) as f64 / 1000.0;
     let cpu = (after.cpu_s - before.cpu_s) * 1000.0 / seen.all().sent.max(1) as f64;
-    drop(process);
-    let _ = std::fs::remove_dir_all(&folder);
     Ok(Outcome { p50: ms(0.5), p99: ms(0.99), cpu })
 }
 
 /// Runs all turns, off and on in each; tells progress on standard error. Ratios are on to off, for each turn.
 pub fn measure(options: &Options) -> io::Result<Value> {
-    let folder = std::env::temp_dir().join(format!("pinepoint-lab-peers-{}", std::process::id()));
+    let folder = Folder::new("peers")?;
     let peers = rig::Options {
         program: options.program.clone(),
-        folder: folder.clone(),
+        folder: folder.0.clone(),
         members: options.peers,
         zones: 3,
         period_ms: 1000,
@@ -106,8 +100,6 @@
         }
         Ok::<_, io::Error>(())
     }))?;
-    drop(rig);
-    let _ = std::fs::remove_dir_all(&folder);
     let told = |of: fn(&Outcome) -> f64| {
         let ratios: Vec<f64> = rows.iter().map(|(off, on)| of(on) / of(off)).collect();
         let mean = |side: fn(&(Outcome, Outcome)) -> Outcome| {
--- a/crates/pinepoint-lab/src/main.rs
+++ b/crates/pinepoint-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The laboratory's command line. It owns how experiments are asked for and told; it must never measure by itself.
 #![forbid(unsafe_code)]
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -73,56 +73,63 @@
 }
 
 fn main() -> ExitCode {
-    let (program, earlier, seconds, turns, part, cpu, ways, every, json) = match Cli::parse().command {
+    match Cli::parse().command {
         Command::Telemetry { program, earlier, seconds, turns, part, cpu, ways, every, json } => {
-            (program, earlier, seconds, turns, part, cpu, ways, every, json)
-        }
-        Command::Fleet { program, seconds, turns, peers, part, cpu } => {
-            let length = Duration::from_secs(seconds);
-            let options = fleet::Options { program, length, turns, peers, part, cpu };
-            let measured = cpu.map_or(Ok(()), process::stay_off).and_then(|()| fleet::measure(&options));
-            return match measured {
-                Ok(report) => {
-                    println!("{report:#}");
-                    ExitCode::SUCCESS
-                }
+            let ways = match known(&ways) {
+                Ok(ways) => ways,
                 Err(error) => {
                     eprintln!("pinepoint-lab: {error}");
-                    ExitCode::FAILURE
+                    return ExitCode::from(2);
                 }
             };
+            let length = Duration::from_secs(seconds);
+            let options =
+                telemetry::Options { program, earlier, length, turns, part, cpu, ways, every_s: every };
+            ended(
+                on(cpu, || telemetry::measure(&options))
+                    .map(|outcomes| tell(&telemetry::report(&outcomes), json)),
+            )
         }
-    };
-    let known = |name: &String| {
-        let way = telemetry::WAYS.into_iter().find(|way| format!("{way:?}").eq_ignore_ascii_case(name));
-        way.ok_or_else(|| format!("{name} is none of off, good, stalled, dripping, down, restarting"))
-    };
-    let ways = match ways.iter().map(known).collect::<Result<Vec<_>, _>>() {
-        Ok(ways) if ways.is_empty() => telemetry::WAYS.to_vec(),
-        Ok(ways) => ways,
-        Err(error) => {
-            eprintln!("pinepoint-lab: {error}");
-            return ExitCode::from(2);
+        Command::Fleet { program, seconds, turns, peers, part, cpu } => {
+            let length = Duration::from_secs(seconds);
+            let options = fleet::Options { program, length, turns, peers, part, cpu };
+            ended(on(cpu, || fleet::measure(&options)).map(|report| println!("{report:#}")))
         }
-    };
-    let length = Duration::from_secs(seconds);
-    let options = telemetry::Options { program, earlier, length, turns, part, cpu, ways, every_s: every };
-    let measured = cpu.map_or(Ok(()), process::stay_off).and_then(|()| telemetry::measure(&options));
+    }
+}
+
+/// Measures while this process keeps off the core that the program has for itself.
+fn on<T>(cpu: Option<usize>, measure: impl FnOnce() -> io::Result<T>) -> io::Result<T> {
+    cpu.map_or(Ok(()), process::stay_off)?;
+    measure()
+}
+
+fn ended(measured: io::Result<()>) -> ExitCode {
     match measured {
-        Ok(outcomes) => {
-            let report = telemetry::report(&outcomes);
-            let text = if json { format!("{report:#}\n") } else { telemetry::table(&report) };
-            let _ = std::io::stdout().write_all(text.as_bytes());
-            let off = |row: &serde_json::Value| row["off"].as_array().is_some_and(|off| !off.is_empty());
-            let rows = report.as_array().into_iter().flatten();
-            for row in rows.filter(|row| off(row)) {
-                eprintln!("{}: {}", row["way"], row["off"]);
-            }
-            ExitCode::SUCCESS
-        }
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("pinepoint-lab: {error}");
             ExitCode::FAILURE
         }
     }
 }
+
+/// The ways of these names; all if none is named.
+fn known(names: &[String]) -> Result<Vec<telemetry::Way>, String> {
+    let known = |name: &String| {
+        let way = telemetry::WAYS.into_iter().find(|way| format!("{way:?}").eq_ignore_ascii_case(name));
+        way.ok_or_else(|| format!("{name} is none of off, good, stalled, dripping, down, restarting"))
+    };
+    if names.is_empty() { Ok(telemetry::WAYS.to_vec()) } else { names.iter().map(known).collect() }
+}
+
+/// Prints a report of telemetry, and what did not add up on standard error.
+fn tell(report: &serde_json::Value, json: bool) {
+    let text = if json { format!("{report:#}\n") } else { telemetry::table(report) };
+    let _ = io::stdout().write_all(text.as_bytes());
+    let off = |row: &serde_json::Value| row["off"].as_array().is_some_and(|off| !off.is_empty());
+    let rows = report.as_array().into_iter().flatten();
+    for row in rows.filter(|row| off(row)) {
+        eprintln!("{}: {}", row["way"], row["off"]);
+    }
+}
--- a/crates/pinepoint-lab/src/process.rs
+++ b/crates/pinepoint-lab/src/process.rs
@@ -21,6 +21,49 @@
  "registryFollows":true,"classCalls":[false,true,true],"worthWithout":[0,0.3,0],"callsOut":64,
  "callsOverMs":5000,"lingerMs":200,"gauges":["cpu_busy","runnable","mem_used","sockets"]}}"#;
 
+/// A folder of this process for files of the programs under test; it goes with this value.
+#[derive(Debug)]
+pub(crate) struct Folder(pub(crate) PathBuf);
+
+impl Folder {
+    /// A new one of this name.
+    pub(crate) fn new(name: &str) -> io::Result<Folder> {
+        let path = std::env::temp_dir().join(format!("pinepoint-lab-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// What the platform tells a comparer: the file that `RELAY_CONFIG` names.
+pub(crate) struct Platform<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) places: Places,
+    pub(crate) seed: u64,
+    pub(crate) memory_mb: u32,
+    pub(crate) sockets: u32,
+    pub(crate) cores: f64,
+}
+
+impl Platform<'_> {
+    /// The file.
+    pub(crate) fn file(&self) -> String {
+        let Platform { name, places: Places { engine, store, members }, seed, memory_mb, sockets, cores } =
+            self;
+        let settings = SETTINGS.replace("CORES", &cores.to_string());
+        format!(
+            r#"{{"name":"{name}","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}","store":"{store}",
+            "seed":"{seed:016x}","stop_ms":2000,"limits":{{"cores":1,"memory_mb":{memory_mb},"sockets":{sockets}}},
+            "settings":{settings}}}"#
+        )
+    }
+}
+
 /// A start of the program.
 #[derive(Clone, Debug)]
 pub struct Start<'a> {
@@ -62,19 +105,21 @@
     /// Starts it and waits until it listens.
     pub fn start(start: &Start<'_>) -> io::Result<Process> {
         let Start { program, folder, places, cores, edge, cpu } = start;
-        let settings = SETTINGS.replace("CORES", &cores.to_string());
-        let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","engine":"{}","members":"{}","store":"{}","seed":"8c1f30d27a5be964",
-            "stop_ms":2000,"limits":{{"cores":1,"memory_mb":192,"sockets":1024}},"settings":{settings}}}"#,
-            places.engine, places.members, places.store
-        );
+        let platform = Platform {
+            name: "n1",
+            places: *places,
+            seed: 0x8c1f_30d2_7a5b_e964,
+            memory_mb: 192,
+            sockets: 1024,
+            cores: *cores,
+        };
         let file = |name: &str, text: &str| -> io::Result<PathBuf> {
             let path = folder.join(name);
             std::fs::write(&path, text)?;
             Ok(path)
         };
         let mut command = Command::new(program);
-        command.env("RELAY_CONFIG", file("config.json", &config)?).stderr(Stdio::piped());
+        command.env("RELAY_CONFIG", file("config.json", &platform.file())?).stderr(Stdio::piped());
         if let Some(edge) = edge {
             command.arg("--edge").arg(file("edge.toml", edge)?);
         }
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -32,11 +32,13 @@
 use serde_json::Value;
 
 use crate::machine::{Machine, Places};
-use crate::process::SETTINGS;
+use crate::process::Platform;
 use crate::switch::Switch;
 
 /// What does not come within this time does not come.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Cores of each engine.
+const CORES: f64 = 2.0;
 /// Between two looks at a view.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -98,7 +100,7 @@
     let (sender, places) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let executor = std::rc::Rc::new(async_executor::LocalExecutor::new());
-        let machine = Machine { cores: 2.0, call: Duration::from_millis(5) };
+        let machine = Machine { cores: CORES, call: Duration::from_millis(5) };
         for _ in 0..members {
             let started = machine.start(&executor).map(|(places, _)| places);
             if sender.send(started).is_err() {
@@ -162,23 +164,18 @@
             std::fs::write(&path, text)?;
             Ok(path)
         };
-        let config = format!(
-            r#"{{"name":"{}","listen":"127.0.0.1:0","engine":"{}","members":"{}","store":"{}","seed":"{:x}",
-            "stop_ms":2000,"limits":{{"cores":1,"memory_mb":64,"sockets":256}},"settings":{}}}"#,
-            member.name,
-            member.engine,
-            self.places.members,
-            self.places.store,
-            self.options.seed + at as u64,
-            SETTINGS.replace("CORES", "2")
-        );
-        let seeds: Vec<String> = self.switch.ports.iter().take(3).map(|port| format!("\"{port}\"")).collect();
+        let platform = Platform {
+            name: &member.name,
+            places: Places { engine: member.engine, ..self.places },
+            seed: self.options.seed + at as u64,
+            memory_mb: 64,
+            sockets: 256,
+            cores: CORES,
+        };
+        let seeds = self.switch.seeds();
         let edge = format!(
-            "[fleet]\nlisten = \"{}\"\nadvertise = \"{}\"\nzone = \"{}\"\nperiod_ms = {period_ms}.0\nseeds = [{}]\n",
-            member.listen,
-            self.switch.ports[at],
-            member.zone,
-            seeds.join(", ")
+            "[fleet]\nlisten = \"{}\"\nadvertise = \"{}\"\nzone = \"{}\"\nperiod_ms = {period_ms}.0\nseeds = {seeds}\n",
+            member.listen, self.switch.ports[at], member.zone
         );
         let log = std::fs::File::options()
             .create(true)
@@ -187,7 +184,7 @@
         let child = Command::new(program)
             .arg("--edge")
             .arg(file("edge.toml", &edge)?)
-            .env("RELAY_CONFIG", file("config.json", &config)?)
+            .env("RELAY_CONFIG", file("config.json", &platform.file())?)
             .stdin(Stdio::null())
             .stderr(log)
             .spawn()?;
--- a/crates/pinepoint-lab/src/switch.rs
+++ b/crates/pinepoint-lab/src/switch.rs
@@ -60,6 +60,12 @@
         Ok(switch)
     }
 
+    /// The first few ports as a list in TOML: seeds of a fleet.
+    pub fn seeds(&self) -> String {
+        let seeds: Vec<String> = self.ports.iter().take(3).map(|port| format!("\"{port}\"")).collect();
+        format!("[{}]", seeds.join(", "))
+    }
+
     /// What happens now; changes count from the next datagram on.
     pub fn faults(&self) -> MutexGuard<'_, Faults> {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/pinepoint-lab/src/telemetry.rs
+++ b/crates/pinepoint-lab/src/telemetry.rs
@@ -16,7 +16,7 @@
 use crate::graphite::{Form, Graphite, Mode, Points};
 use crate::load::{self, Class, Plan, Seen};
 use crate::machine::{Machine, Places};
-use crate::process::{Process, Start};
+use crate::process::{Folder, Process, Start};
 
 /// What the receivers do in one run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -98,14 +98,6 @@
     pub law_off: f64,
 }
 
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn edge(options: &Options, way: Way, graphite: &Graphite, collectd: &str) -> String {
     let ajp = "[ajp]\nlisten = \"127.0.0.1:0\"\nmem_kb = 40.0\n";
     let (address, every) = (graphite.address(), options.every_s);
@@ -129,8 +121,7 @@
     places: Places,
     executor: &Rc<LocalExecutor<'static>>,
 ) -> io::Result<Outcome> {
-    let folder = Folder(std::env::temp_dir().join(format!("pinepoint-lab-{}-{seed}", std::process::id())));
-    std::fs::create_dir_all(&folder.0)?;
+    let folder = Folder::new(&format!("telemetry-{seed}"))?;
     let graphite = Graphite::start(Form::Plaintext)?;
     let collectd = Collectd::network(Wanted::Nothing, seed)?;
     let place = collectd.place().to_owned();
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -78,6 +78,15 @@
     fn leave_if_idle(&self, _: f64) {}
 }
 
+/// An end of a run: of four, two are results.
+pub fn run_end(how: u8) -> RunEnd {
+    match how % 4 {
+        0 | 1 => RunEnd::Complete(vec![how; 200].as_slice().into()),
+        2 => RunEnd::Error,
+        _ => RunEnd::Unknown,
+    }
+}
+
 pub struct Bench {
     pub core: Core,
     pub seen: Rc<Seen>,
@@ -182,12 +191,7 @@
             Step::Pass { ms, busy } => self.pass(f64::from(ms), f64::from(busy) / 100.0),
             Step::End { run, how } => {
                 if let Some(rid) = pick(&self.seen.runs, run) {
-                    let end = match how % 4 {
-                        0 | 1 => RunEnd::Complete(vec![how; 200].as_slice().into()),
-                        2 => RunEnd::Error,
-                        _ => RunEnd::Unknown,
-                    };
-                    self.tell(Input::Done(rid, end));
+                    self.tell(Input::Done(rid, run_end(how)));
                 }
             }
             Step::Need { run } => {
--- a/tests/long_life.rs
+++ b/tests/long_life.rs
@@ -4,10 +4,11 @@
 mod bench;
 
 use std::alloc::System;
+use std::cell::RefCell;
 use std::rc::Rc;
 
-use bench::{Bench, Client, Step};
-use pinepoint::node::port::{Input, RunEnd};
+use bench::{Bench, Client, Step, run_end};
+use pinepoint::node::port::Input;
 use pinepoint::{Outcome, View};
 use pinepoint_telemetry::accounts::{Accounts, Class};
 use pinepoint_telemetry::schema::Schema;
@@ -45,6 +46,13 @@
     most: (u64, usize, u64),
 }
 
+/// Takes one out of a list of the stand-ins, if there is one.
+fn taken_out(list: &RefCell<Vec<String>>, pick: usize) -> Option<String> {
+    let mut list = list.borrow_mut();
+    let at = pick.checked_rem(list.len())?;
+    Some(list.remove(at))
+}
+
 impl Life {
     fn new(seed: u64) -> Life {
         let mut bench = Bench::with_room(0.1, 40_000.0);
@@ -76,32 +84,14 @@
 
     /// The engine ends one of its runs.
     fn end_run(&mut self, pick: usize, how: u8) {
-        let rid = {
-            let mut runs = self.bench.seen.runs.borrow_mut();
-            if runs.is_empty() {
-                return;
-            }
-            let at = pick % runs.len();
-            runs.remove(at)
-        };
-        let end = match how % 4 {
-            0 | 1 => RunEnd::Complete(vec![how; 200].as_slice().into()),
-            2 => RunEnd::Error,
-            _ => RunEnd::Unknown,
-        };
-        self.bench.tell(Input::Done(rid, end));
+        if let Some(rid) = taken_out(&self.bench.seen.runs, pick) {
+            self.bench.tell(Input::Done(rid, run_end(how)));
+        }
     }
 
     /// The store ends one of its calls: most go well.
     fn end_call(&mut self, pick: usize, how: u8) {
-        let rid = {
-            let mut calls = self.bench.seen.calls.borrow_mut();
-            if calls.is_empty() {
-                return;
-            }
-            let at = pick % calls.len();
-            calls.remove(at)
-        };
+        let Some(rid) = taken_out(&self.bench.seen.calls, pick) else { return };
         let (outcome, reply) = match how % 16 {
             0 => (Outcome::Declined, None),
             1 => (Outcome::Reset, None),
