Let tests set the clock of a process off, in builds that are not for release

Need: courses over processes whose clocks are off from each other, jump and are set back; there was no way but the simulation. A debug build reads ms from the file that PINEPOINT_TEST_CLOCK names, at most every 20 ms. tests/platform.rs holds that a debug build has the way and the release build, which the platform starts, has not.

--- a/crates/pinepoint-clock/src/lib.rs
+++ b/crates/pinepoint-clock/src/lib.rs
@@ -8,6 +8,9 @@
 //! clock.set(1.0);
 //! assert_eq!(clock.now(), 2_500.0, "it never goes back");
 //! ```
+//!
+//! Tests of several processes set their clocks off from each other by the file that `PINEPOINT_TEST_CLOCK` names, which
+//! holds ms and is read again now and then. Programs built for release have no such way.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -48,6 +51,8 @@
         let (last, Some(told)) = self.last.get() else { return self.last.get().0 };
         let unix =
             SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_secs_f64() * 1000.0;
+        #[cfg(debug_assertions)]
+        let unix = unix + set_off::by_ms();
         let now = if unix >= last { unix } else { last + told.elapsed().as_secs_f64() * 1000.0 };
         self.last.set((now, Some(Instant::now())));
         now
@@ -64,3 +69,34 @@
         self.until(self.now() + ms).await;
     }
 }
+
+/// Of tests only: what this process's clock is off by.
+#[cfg(debug_assertions)]
+mod set_off {
+    use std::cell::Cell;
+    use std::path::PathBuf;
+    use std::time::{Duration, Instant};
+
+    /// Between two looks at the file.
+    const EVERY: Duration = Duration::from_millis(20);
+
+    thread_local! {
+        static FILE: Option<PathBuf> = std::env::var_os("PINEPOINT_TEST_CLOCK").map(PathBuf::from);
+        static LAST: Cell<(Option<Instant>, f64)> = const { Cell::new((None, 0.0)) };
+    }
+
+    pub fn by_ms() -> f64 {
+        FILE.with(|file| {
+            let Some(file) = file else { return 0.0 };
+            let (looked, ms) = LAST.get();
+            if looked.is_some_and(|at| at.elapsed() < EVERY) {
+                return ms;
+            }
+            // A file that is just being written says nothing.
+            let text = std::fs::read_to_string(file).unwrap_or_default();
+            let ms = text.trim().parse().unwrap_or(ms);
+            LAST.set((Some(Instant::now()), ms));
+            ms
+        })
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,6 +18,14 @@
     assert!(elf.libraries.contains(&"libc.so.6"), "not linked against the C library: {:?}", elf.libraries);
 }
 
+#[test]
+fn only_a_build_for_tests_can_have_its_clock_set_off() {
+    let bytes = std::fs::read(env!("CARGO_BIN_EXE_pinepoint")).expect("built");
+    let way = b"PINEPOINT_TEST_CLOCK";
+    let found = bytes.windows(way.len()).any(|window| window == way);
+    assert_eq!(found, cfg!(debug_assertions));
+}
+
 /// The process itself: no children, and only descriptors that the platform knows. Returns how many of each sort.
 fn look(pid: u32) -> BTreeMap<String, usize> {
     let process = Process::new(pid as i32).expect("it runs");
