--- a/crates/pinepoint-lab/src/fleet.rs
+++ b/crates/pinepoint-lab/src/fleet.rs
@@ -1,5 +1,6 @@
-//! What the view of the fleet costs a comparer that works: the same load in turns with the view off, and on among peers
-//! that are real processes.
+//! What the view of the fleet costs a comparer that works: two processes of the program side by side, one with the view
+//! off, one with it on among peers that are real processes. They are loaded in short turns with the same requests, so that
+//! what the machine does meanwhile, and what a queue does by chance, falls on both alike.
 
 use std::io::{self, Write};
 use std::path::PathBuf;
@@ -8,6 +9,9 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
 use crate::load::{self, Plan};
@@ -16,6 +20,9 @@
 use crate::rig::{self, Rig};
 use crate::telemetry::{CORES, classes};
 
+/// Drawings with replacement of all turns, by which an interval is told.
+const RESAMPLES: usize = 400;
+
 /// How it is measured.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -33,40 +40,75 @@
     pub cpu: Option<usize>,
 }
 
-/// One run: median and 99th percentile, ms, and time on a core for each request, ms.
-#[derive(Clone, Copy, Debug)]
+/// One turn of one side: times of what was served, time on a core, s, and requests.
+#[derive(Clone, Debug)]
 struct Outcome {
-    p50: f64,
-    p99: f64,
-    cpu: f64,
+    latency: Histogram<u64>,
+    cpu_s: f64,
+    sent: u64,
+}
+
+/// Several turns as one.
+fn pooled<'a>(turns: impl Iterator<Item = &'a Outcome>) -> Outcome {
+    let mut all: Option<Outcome> = None;
+    for turn in turns {
+        match &mut all {
+            None => all = Some(turn.clone()),
+            Some(all) => {
+                let _ = all.latency.add(&turn.latency);
+                all.cpu_s += turn.cpu_s;
+                all.sent += turn.sent;
+            }
+        }
+    }
+    all.expect("at least one turn")
 }
 
-async fn one(
+fn ms(outcome: &Outcome, quantile: f64) -> f64 {
+    outcome.latency.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+fn cpu_ms(outcome: &Outcome) -> f64 {
+    outcome.cpu_s * 1000.0 / outcome.sent.max(1) as f64
+}
+
+fn begin(
     options: &Options,
-    on: Option<&Rig>,
-    seed: u64,
+    folder: &Folder,
+    edge: Option<String>,
     executor: &Rc<LocalExecutor<'static>>,
-) -> io::Result<Outcome> {
+) -> io::Result<Process> {
     let machine = Machine { cores: CORES, call: Duration::from_millis(3) };
     let (places, _) = machine.start(executor)?;
-    let folder = Folder::new("fleet")?;
-    let edge = on.map(|rig| format!("[fleet]\nlisten = \"127.0.0.1:0\"\nseeds = {}\n", rig.switch.seeds()));
-    let start =
-        Start { program: &options.program, folder: &folder.0, places, cores: CORES, edge, cpu: options.cpu };
-    let process = Process::start(&start)?;
-    Timer::after(Duration::from_secs(2)).await;
+    Process::start(&Start {
+        program: &options.program,
+        folder: &folder.0,
+        places,
+        cores: CORES,
+        edge,
+        cpu: options.cpu,
+    })
+}
+
+async fn turn(
+    options: &Options,
+    process: &Process,
+    seed: u64,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> io::Result<Outcome> {
     let before = process.cost();
     let (classes, rate) = classes(options.part);
     let plan =
         Plan { classes, rate, ajp: 0.0, length: options.length, connections: (12, 0), spread: 0.5, seed };
     let seen = load::run(&plan, process.rpc, None, executor).await?;
-    let after = process.cost();
-    let ms = |q: f64| seen.latency.value_at_quantile(q) as f64 / 1000.0;
-    let cpu = (after.cpu_s - before.cpu_s) * 1000.0 / seen.all().sent.max(1) as f64;
-    Ok(Outcome { p50: ms(0.5), p99: ms(0.99), cpu })
+    // What is left in the engine is worked off, so that no turn pays for the one before it.
+    Timer::after(Duration::from_millis(300)).await;
+    let cpu_s = process.cost().cpu_s - before.cpu_s;
+    Ok(Outcome { sent: seen.all().sent, latency: seen.latency, cpu_s })
 }
 
-/// Runs all turns, off and on in each; tells progress on standard error. Ratios are on to off, for each turn.
+/// Runs all turns, off and on in each; tells progress on standard error. Ratios are on to off; the interval holds 95 of 100
+/// drawings of the turns.
 pub fn measure(options: &Options) -> io::Result<Value> {
     let folder = Folder::new("peers")?;
     let peers = rig::Options {
@@ -76,36 +118,63 @@
         zones: 3,
         period_ms: 1000,
         seed: 1,
+        ..rig::Options::default()
     };
     let rig = Rig::start(peers)?;
     let executor = Rc::new(LocalExecutor::new());
-    let mut rows = Vec::new();
+    let mut rows: Vec<(Outcome, Outcome)> = Vec::new();
     async_io::block_on(executor.run(async {
-        for turn in 0..options.turns {
+        let folders = (Folder::new("off")?, Folder::new("on")?);
+        let edge = format!("[fleet]\nlisten = \"127.0.0.1:0\"\nseeds = {}\n", rig.switch.seeds());
+        let off = begin(options, &folders.0, None, &executor)?;
+        let on = begin(options, &folders.1, Some(edge), &executor)?;
+        Timer::after(Duration::from_secs(2)).await;
+        // The first turn, with a cold program, counts for nothing.
+        for number in 0..options.turns + 1 {
+            let _ = writeln!(io::stderr(), "turn {number} of {}", options.turns);
             // Which comes first changes, so that what grows with time favours neither.
-            let mut pair = [None, None];
-            for on in if turn % 2 == 0 { [false, true] } else { [true, false] } {
-                let _ = writeln!(
-                    io::stderr(),
-                    "turn {} of {}: {}",
-                    turn + 1,
-                    options.turns,
-                    if on { "on" } else { "off" }
-                );
-                pair[usize::from(on)] = Some(one(options, on.then_some(&rig), turn + 1, &executor).await?);
-            }
-            if let [Some(off), Some(on)] = pair {
-                rows.push((off, on));
+            let pair = if number % 2 == 0 {
+                let off = turn(options, &off, number + 1, &executor).await?;
+                (off, turn(options, &on, number + 1, &executor).await?)
+            } else {
+                let on = turn(options, &on, number + 1, &executor).await?;
+                (turn(options, &off, number + 1, &executor).await?, on)
+            };
+            if number > 0 {
+                rows.push(pair);
             }
         }
         Ok::<_, io::Error>(())
     }))?;
-    let told = |of: fn(&Outcome) -> f64| {
-        let ratios: Vec<f64> = rows.iter().map(|(off, on)| of(on) / of(off)).collect();
-        let mean = |side: fn(&(Outcome, Outcome)) -> Outcome| {
-            rows.iter().map(|row| of(&side(row))).sum::<f64>() / rows.len().max(1) as f64
-        };
-        json!({ "off": mean(|row| row.0), "on": mean(|row| row.1), "ratios": ratios })
+    Ok(report(&rows))
+}
+
+fn report(rows: &[(Outcome, Outcome)]) -> Value {
+    let sides = |rows: &[&(Outcome, Outcome)]| {
+        (pooled(rows.iter().map(|row| &row.0)), pooled(rows.iter().map(|row| &row.1)))
+    };
+    let all: Vec<&(Outcome, Outcome)> = rows.iter().collect();
+    let (off, on) = sides(&all);
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let drawn: Vec<(Outcome, Outcome)> = (0..RESAMPLES)
+        .map(|_| {
+            let some: Vec<&(Outcome, Outcome)> =
+                (0..rows.len()).map(|_| &rows[random.random_range(0..rows.len())]).collect();
+            sides(&some)
+        })
+        .collect();
+    let told = |of: &dyn Fn(&Outcome) -> f64| {
+        let mut ratios: Vec<f64> = drawn.iter().map(|(off, on)| of(on) / of(off)).collect();
+        ratios.sort_by(f64::total_cmp);
+        let at = |part: f64| ratios[((ratios.len() - 1) as f64 * part) as usize];
+        let turns: Vec<f64> = rows.iter().map(|(off, on)| of(on) / of(off)).collect();
+        json!({ "off": of(&off), "on": of(&on), "ratio": of(&on) / of(&off), "interval": [at(0.025), at(0.975)],
+                "turns": turns })
     };
-    Ok(json!({ "p50_ms": told(|o| o.p50), "p99_ms": told(|o| o.p99), "cpu_ms_a_request": told(|o| o.cpu) }))
+    json!({
+        "requests": [off.sent, on.sent],
+        "p50_ms": told(&|o| ms(o, 0.5)),
+        "p99_ms": told(&|o| ms(o, 0.99)),
+        "cpu_ms_a_request": told(&cpu_ms),
+    })
 }
--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -11,5 +11,8 @@
 pub mod machine;
 pub mod process;
 pub mod rig;
+pub mod routers;
+pub mod script;
+pub mod store;
 pub mod switch;
 pub mod telemetry;
--- a/crates/pinepoint-lab/src/load.rs
+++ b/crates/pinepoint-lab/src/load.rs
@@ -97,8 +97,9 @@
     }
 }
 
+/// What an answer says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
+pub(crate) enum End {
     Served,
     Refused,
     Failed,
@@ -132,12 +133,12 @@
 
 /// One request as it is planned.
 #[derive(Clone, Debug)]
-struct Request {
-    class: &'static str,
-    work_ms: f64,
-    token: Option<String>,
-    body: String,
-    rid: u64,
+pub(crate) struct Request {
+    pub(crate) class: &'static str,
+    pub(crate) work_ms: f64,
+    pub(crate) token: Option<String>,
+    pub(crate) body: String,
+    pub(crate) rid: u64,
 }
 
 /// Sends what the plan says to a comparer that listens at these addresses, and waits for the answers.
@@ -167,7 +168,7 @@
             break;
         }
         number += 1;
-        let request = draw(plan, number, &mut random)?;
+        let request = draw(&plan.classes, plan.spread, plan.seed, number, &mut random)?;
         let by_ajp = ajp.is_some() && random.random::<f64>() < plan.ajp;
         Timer::at(began + at).await;
         if by_ajp {
@@ -194,22 +195,92 @@
     Ok(seen)
 }
 
-fn draw(plan: &Plan, number: u64, random: &mut Pcg64Mcg) -> io::Result<Request> {
-    let mut share = random.random::<f64>() * plan.classes.iter().map(|class| class.share).sum::<f64>();
-    let class = plan.classes.iter().find(|class| {
+/// The request of this number: a class by its share, and work around its mean.
+pub(crate) fn draw(
+    classes: &[Class],
+    spread: f64,
+    seed: u64,
+    number: u64,
+    random: &mut Pcg64Mcg,
+) -> io::Result<Request> {
+    let mut share = random.random::<f64>() * classes.iter().map(|class| class.share).sum::<f64>();
+    let class = classes.iter().find(|class| {
         share -= class.share;
         share <= 0.0
     });
-    let class = class.or(plan.classes.last()).ok_or_else(|| io::Error::other("a plan without classes"))?;
-    let mu = class.work_ms.ln() - plan.spread * plan.spread / 2.0;
-    let work_ms = LogNormal::new(mu, plan.spread).map_err(io::Error::other)?.sample(random).max(0.05);
-    let token = class.keyed.then(|| format!("k{}-{number}", plan.seed));
-    let body = format!("{work_ms:.3} {} n{number}", u8::from(class.calls));
-    Ok(Request { class: class.name, work_ms, token, body, rid: plan.seed << 32 | number })
+    let class = class.or(classes.last()).ok_or_else(|| io::Error::other("a plan without classes"))?;
+    let mu = class.work_ms.ln() - spread * spread / 2.0;
+    let work_ms = LogNormal::new(mu, spread).map_err(io::Error::other)?.sample(random).max(0.05);
+    let token = class.keyed.then(|| format!("k{seed}-{number}"));
+    // Behind the numbers that the engine goes by it may say anything.
+    let kind = if class.keyed { " keyed" } else { "" };
+    let body = format!("{work_ms:.3} {} n{number}{kind}", u8::from(class.calls));
+    Ok(Request { class: class.name, work_ms, token, body, rid: seed << 32 | number })
 }
 
 // ---- MessagePack-RPC ----
 
+/// Now, Unix ms.
+pub(crate) fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
+
+impl Request {
+    /// The message of one try, under an id of its connection; `t0` is when the request was first sent.
+    pub(crate) fn message(&self, id: u64, t0: u128, again: bool) -> io::Result<Vec<u8>> {
+        let mut fields = vec![
+            ("rid", format!("{:016x}", self.rid)),
+            ("t0", t0.to_string()),
+            ("est", format!("{:.3}", self.work_ms)),
+            ("mem", "40".to_owned()),
+        ];
+        fields.extend(self.token.clone().map(|token| ("token", token)));
+        fields.extend(again.then(|| ("again", "1".to_owned())));
+        let fields =
+            fields.into_iter().map(|(name, value)| (Value::from(name), Value::from(value))).collect();
+        let body = Value::Binary(self.body.clone().into_bytes());
+        let message = Value::Array(vec![
+            0.into(),
+            id.into(),
+            self.class.into(),
+            Value::Array(vec![Value::Map(fields), body]),
+        ]);
+        let mut bytes = Vec::new();
+        rmpv::encode::write_value(&mut bytes, &message).map_err(io::Error::other)?;
+        Ok(bytes)
+    }
+}
+
+/// What came over a connection of MessagePack-RPC.
+pub(crate) enum Came {
+    /// An answer to the request of this id.
+    Answer(u64, End),
+    /// It is told to go.
+    Notice,
+}
+
+/// Takes a whole message off the front, if there is one; passes over what is none of these.
+pub(crate) fn take_message(input: &mut Vec<u8>) -> Option<Came> {
+    loop {
+        let mut rest = input.as_slice();
+        let message = rmpv::decode::read_value(&mut rest).ok()?;
+        let used = input.len() - rest.len();
+        input.drain(..used);
+        match message.as_array().map(Vec::as_slice) {
+            Some([kind, _, _]) if kind.as_u64() == Some(2) => return Some(Came::Notice),
+            Some([kind, id, error, _]) if kind.as_u64() == Some(1) => {
+                let end = match error.as_array().and_then(|error| error.first()?.as_str()) {
+                    None => End::Served,
+                    Some("Busy") => End::Refused,
+                    Some(_) => End::Failed,
+                };
+                return Some(Came::Answer(id.as_u64()?, end));
+            }
+            _ => {}
+        }
+    }
+}
+
 type OpenRequests = Rc<RefCell<HashMap<u64, (&'static str, Instant)>>>;
 
 struct Router {
@@ -240,25 +311,7 @@
     async fn send(&self, request: &Request) -> io::Result<()> {
         let id = self.last.get() + 1;
         self.last.set(id);
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
-        let mut fields = vec![
-            ("rid", format!("{:016x}", request.rid)),
-            ("t0", now.as_millis().to_string()),
-            ("est", format!("{:.3}", request.work_ms)),
-            ("mem", "40".to_owned()),
-        ];
-        fields.extend(request.token.clone().map(|token| ("token", token)));
-        let fields =
-            fields.into_iter().map(|(name, value)| (Value::from(name), Value::from(value))).collect();
-        let body = Value::Binary(request.body.clone().into_bytes());
-        let message = Value::Array(vec![
-            0.into(),
-            id.into(),
-            request.class.into(),
-            Value::Array(vec![Value::Map(fields), body]),
-        ]);
-        let mut bytes = Vec::new();
-        rmpv::encode::write_value(&mut bytes, &message).map_err(io::Error::other)?;
+        let bytes = request.message(id, unix_ms(), false)?;
         self.open.borrow_mut().insert(id, (request.class, Instant::now()));
         self.book.sent(request.class);
         (&*self.stream).write_all(&bytes).await
@@ -272,25 +325,12 @@
             Ok(n) if n > 0 => input.extend_from_slice(&chunk[..n]),
             _ => return,
         }
-        loop {
-            let mut rest = input.as_slice();
-            let Ok(message) = rmpv::decode::read_value(&mut rest) else { break };
-            let used = input.len() - rest.len();
-            input.drain(..used);
-            let Some([kind, id, error, _]) = message.as_array().map(Vec::as_slice) else { continue };
-            if kind.as_u64() != Some(1) {
-                continue;
-            }
-            let Some((class, since)) = id.as_u64().and_then(|id| open.borrow_mut().remove(&id)) else {
+        while let Some(came) = take_message(&mut input) {
+            let Came::Answer(id, end) = came else { continue };
+            let Some((class, since)) = open.borrow_mut().remove(&id) else {
                 book.seen.borrow_mut().doubles += 1;
                 continue;
             };
-            let name = error.as_array().and_then(|error| error.first()?.as_str());
-            let end = match name {
-                None => End::Served,
-                Some("Busy") => End::Refused,
-                Some(_) => End::Failed,
-            };
             book.ended(class, end, since);
         }
     }
--- a/crates/pinepoint-lab/src/machine.rs
+++ b/crates/pinepoint-lab/src/machine.rs
@@ -5,14 +5,20 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
+use crate::store::{Crowd, Store, listen, own_port};
+
+/// Speed of an engine that is quite cold, as a part of its own.
+const COLD: f64 = 0.29;
+
 /// What the machine is like.
 #[derive(Clone, Copy, Debug)]
 pub struct Machine {
@@ -42,21 +48,56 @@
     waits: bool,
 }
 
+/// The state of an engine that a script changes while it runs, and what it ran.
+#[derive(Debug, Default)]
+pub struct Power {
+    /// Nobody listens there.
+    pub down: bool,
+    /// Whoever attaches next finds it cold, and warm after so long.
+    pub chilly: Duration,
+    /// How often each body was begun, and how often one of them was ended whole.
+    pub begun: HashMap<String, u32>,
+    /// See above.
+    pub ended: HashMap<String, u32>,
+}
+
+/// A handle on that; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Switchboard(Arc<Mutex<Power>>);
+
+impl Switchboard {
+    /// To read and to change.
+    pub fn power(&self) -> MutexGuard<'_, Power> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 struct Engine {
+    board: Switchboard,
+    chilly: Duration,
+    attached: Instant,
     cores: f64,
     runs: Vec<Run>,
     told: Instant,
     notice: u64,
     busy: f64,
     out: Vec<u8>,
-    seen: HashMap<String, u32>,
 }
 
 impl Engine {
     /// What each run on the cores gets of one.
     fn share(&self) -> f64 {
         let running = self.runs.iter().filter(|run| !run.waits).count() as f64;
-        (self.cores / running.max(1.0)).min(1.0)
+        let warm = self.attached.elapsed().as_secs_f64() / self.chilly.as_secs_f64().max(1e-9);
+        (self.cores / running.max(1.0)).min(1.0) * (COLD + (1.0 - COLD) * warm.min(1.0))
+    }
+
+    /// A comparer that attaches: it starts with numbers of its own, and the engine without its runs.
+    fn attach(&mut self) {
+        self.runs.clear();
+        (self.notice, self.attached, self.told) = (0, Instant::now(), Instant::now());
+        self.chilly = std::mem::take(&mut self.board.power().chilly);
+        self.out.clear();
     }
 
     fn pass(&mut self) {
@@ -84,15 +125,17 @@
     }
 
     fn end(&mut self, rid: &str, how: &str, result: &[u8]) {
-        let before = self.runs.len();
-        self.runs.retain(|run| run.rid != rid);
-        if self.runs.len() < before {
-            self.notice += 1;
-            let head = format!("DONE {} {rid} {how} 1 {}\r\n", self.notice, result.len());
-            self.out.extend_from_slice(head.as_bytes());
-            self.out.extend_from_slice(result);
-            self.out.extend_from_slice(b"\r\n");
+        let Some(at) = self.runs.iter().position(|run| run.rid == rid) else { return };
+        let run = self.runs.swap_remove(at);
+        if how == "complete" {
+            let body = String::from_utf8_lossy(&run.body).into_owned();
+            *self.board.power().ended.entry(body).or_default() += 1;
         }
+        self.notice += 1;
+        let head = format!("DONE {} {rid} {how} 1 {}\r\n", self.notice, result.len());
+        self.out.extend_from_slice(head.as_bytes());
+        self.out.extend_from_slice(result);
+        self.out.extend_from_slice(b"\r\n");
     }
 
     fn next(&self) -> Option<Duration> {
@@ -105,10 +148,14 @@
 
     fn command(&mut self, words: &[&str], body: Vec<u8>) {
         match words {
-            ["ATTACH", _] => self.out.extend_from_slice(b"HELLO hot 60000\r\n"),
+            ["ATTACH", _] if self.chilly.is_zero() => self.out.extend_from_slice(b"HELLO hot 60000\r\n"),
+            ["ATTACH", _] => {
+                let hello = format!("HELLO chilly {}\r\n", self.chilly.as_millis());
+                self.out.extend_from_slice(hello.as_bytes());
+            }
             ["RUN", rid, ..] => {
-                *self.seen.entry(String::from_utf8_lossy(&body).into_owned()).or_default() += 1;
                 let text = String::from_utf8_lossy(&body).into_owned();
+                *self.board.power().begun.entry(text.clone()).or_default() += 1;
                 let mut told = text.split(' ').map(|word| word.parse::<f64>().unwrap_or(1.0));
                 let (work, calls) = (told.next().unwrap_or(1.0), told.next().unwrap_or(0.0));
                 let call_at_ms = (calls > 0.0).then_some(work / 2.0);
@@ -129,7 +176,7 @@
 }
 
 /// Takes a whole line off the front, with its body if its form has one.
-fn line(input: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
+pub(crate) fn line(input: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
     let end = input.windows(2).position(|two| two == b"\r\n")?;
     let text = String::from_utf8_lossy(&input[..end]).into_owned();
     let has_body = ["RUN ", "FEED ", "CALL "].iter().any(|head| text.starts_with(head));
@@ -167,81 +214,61 @@
     }
 }
 
-async fn serve_store(mut stream: &Async<TcpStream>, call: Duration) -> io::Result<()> {
-    let (mut input, mut chunk) = (Vec::new(), vec![0; 4096]);
-    loop {
-        let n = stream.read(&mut chunk).await?;
-        if n == 0 {
-            return Ok(());
-        }
-        input.extend_from_slice(&chunk[..n]);
-        while let Some((text, _)) = line(&mut input) {
-            if let ["CALL", rid, ..] = text.split(' ').collect::<Vec<_>>().as_slice() {
-                Timer::after(call).await;
-                stream.write_all(format!("{rid} OK 2\r\nok\r\n").as_bytes()).await?;
-            }
+/// Starts an engine of so many cores on this executor; scripts reach it by the board.
+pub fn start_engine(
+    cores: f64,
+    board: &Switchboard,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> io::Result<SocketAddr> {
+    let listener = own_port()?;
+    let address = listener.local_addr()?;
+    let state = Rc::new(RefCell::new(Engine {
+        board: board.clone(),
+        chilly: Duration::ZERO,
+        attached: Instant::now(),
+        cores,
+        runs: Vec::new(),
+        told: Instant::now(),
+        notice: 0,
+        busy: 0.0,
+        out: Vec::new(),
+    }));
+    let serve = move |stream: Async<TcpStream>| {
+        let state = state.clone();
+        async move {
+            state.borrow_mut().attach();
+            serve_engine(&stream, &state).await
         }
-    }
+    };
+    let power = board.clone();
+    executor.spawn(listen(listener, move || !power.power().down, serve, executor.clone())?).detach();
+    Ok(address)
 }
 
 impl Machine {
     /// Starts the three services on this executor. `runs` counts how often each body was run.
     pub fn start(self, executor: &Rc<LocalExecutor<'static>>) -> io::Result<(Places, Runs)> {
-        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let (engine, store) = (Async::<TcpListener>::bind(any)?, Async::<TcpListener>::bind(any)?);
-        let members = Async::<UdpSocket>::bind(any)?;
-        let places = Places {
-            engine: engine.get_ref().local_addr()?,
-            store: store.get_ref().local_addr()?,
-            members: members.get_ref().local_addr()?,
-        };
-        let state = Rc::new(RefCell::new(Engine {
-            cores: self.cores,
-            runs: Vec::new(),
-            told: Instant::now(),
-            notice: 0,
-            busy: 0.0,
-            out: Vec::new(),
-            seen: HashMap::new(),
-        }));
-        let runs = Runs(state.clone());
-        let (of_engine, of_store) = (executor.clone(), executor.clone());
-        let accept = async move {
-            while let Ok((stream, _)) = engine.accept().await {
-                let _ = stream.get_ref().set_nodelay(true);
-                {
-                    // Each comparer starts with numbers of its own, and the engine without its runs.
-                    let mut engine = state.borrow_mut();
-                    engine.runs.clear();
-                    engine.notice = 0;
-                }
-                let state = state.clone();
-                of_engine.spawn(async move { serve_engine(&stream, &state).await }).detach();
-            }
-        };
-        executor.spawn(accept).detach();
-        let accept = async move {
-            while let Ok((stream, _)) = store.accept().await {
-                let _ = stream.get_ref().set_nodelay(true);
-                of_store.spawn(async move { serve_store(&stream, self.call).await }).detach();
-            }
-        };
-        executor.spawn(accept).detach();
+        let members = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0))?;
+        let board = Switchboard::default();
+        let engine = start_engine(self.cores, &board, executor)?;
+        // More slots than there are calls: it does not crowd.
+        let store = Store::start(Crowd::new(usize::MAX, self.call), executor)?.address;
+        let places = Places { engine, store, members: members.get_ref().local_addr()? };
         let listen = async move {
             let mut report = [0; 256];
             while members.recv(&mut report).await.is_ok() {}
         };
         executor.spawn(listen).detach();
-        Ok((places, runs))
+        Ok((places, Runs(board)))
     }
 }
 
 /// What was run.
-pub struct Runs(Rc<RefCell<Engine>>);
+pub struct Runs(Switchboard);
 
 impl Runs {
     /// How often each body was run, since the start.
     pub fn seen(&self) -> HashMap<String, u32> {
-        self.0.borrow().seen.clone()
+        self.0.power().begun.clone()
     }
 }
--- a/crates/pinepoint-lab/src/process.rs
+++ b/crates/pinepoint-lab/src/process.rs
@@ -43,6 +43,7 @@
 /// What the platform tells a comparer: the file that `RELAY_CONFIG` names.
 pub(crate) struct Platform<'a> {
     pub(crate) name: &'a str,
+    pub(crate) listen: SocketAddr,
     pub(crate) places: Places,
     pub(crate) seed: u64,
     pub(crate) memory_mb: u32,
@@ -53,11 +54,11 @@
 impl Platform<'_> {
     /// The file.
     pub(crate) fn file(&self) -> String {
-        let Platform { name, places: Places { engine, store, members }, seed, memory_mb, sockets, cores } =
-            self;
+        let Platform { name, listen, places, seed, memory_mb, sockets, cores } = self;
+        let Places { engine, store, members } = places;
         let settings = SETTINGS.replace("CORES", &cores.to_string());
         format!(
-            r#"{{"name":"{name}","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}","store":"{store}",
+            r#"{{"name":"{name}","listen":"{listen}","engine":"{engine}","members":"{members}","store":"{store}",
             "seed":"{seed:016x}","stop_ms":2000,"limits":{{"cores":1,"memory_mb":{memory_mb},"sockets":{sockets}}},
             "settings":{settings}}}"#
         )
@@ -107,6 +108,7 @@
         let Start { program, folder, places, cores, edge, cpu } = start;
         let platform = Platform {
             name: "n1",
+            listen: ([127, 0, 0, 1], 0).into(),
             places: *places,
             seed: 0x8c1f_30d2_7a5b_e964,
             memory_mb: 192,
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -1,49 +1,75 @@
-//! Many real processes of the program under failure: each with an engine of its own, one store and one list service, a
-//! switch between them, and scripts of faults and expectations. It owns the processes and the language; it knows the program
-//! by its command line and its files only.
+//! Many real processes of the program under failure: each with an engine of its own, one store and one list service,
+//! routers in front, a switch between them all, and scripts of faults and expectations. It owns the processes and what a
+//! script may say; it knows the program by its command line, its files and its log only.
 //!
-//! Lines of `ACTOR VERB WORDS`, as in the node's scenarios:
+//! Lines of `ACTOR VERB WORDS` in the language of [`crate::script`]. An actor is a process (`n1`), a zone (`z2`), some of these
+//! (`n1,z2`) or `all`; what happens to several happens in the same instant.
 //!
 //! | line | meaning |
 //! | --- | --- |
-//! | `n1 start`, `n1 kill` | start the process, kill it outright |
+//! | `n1 start`, `n1 kill` | start the process, kill it and its engine's runs outright |
 //! | `n1 stop`, `n1 continue` | stop it as by SIGSTOP, let it go on |
+//! | `n1 slow 0.3` | it runs only in that part of the time; 1 ends it |
 //! | `n1 term` | tell it to leave, and wait for its end |
-//! | `net loss 0.2`, `net twice 0.1`, `net delay 50` | of all datagrams; ms |
+//! | `n1 hup` | tell it to read its files again |
+//! | `n1 clock 10000` | set its clock off by so many ms |
+//! | `n1 wipe` | its directory is gone |
+//! | `n1 named n2` | it goes by that name from its next start on |
+//! | `n1 engine down`, `n1 engine up`, `n1 engine chilly 3000` | its engine; chilly for whoever attaches next, ms |
+//! | `store down`, `store up`, `store slots 4`, `store call 20`, `store away 5000` | the store that all share; ms |
+//! | `list down`, `list up` | the list service |
+//! | `net loss 0.2`, `net twice 0.1`, `net delay 50` | of all that is forwarded; ms |
 //! | `net deaf n1 0.3` | lose that part of what it is sent |
-//! | `net cut n1 n2` | nothing goes from the first to the second |
-//! | `net part n1 n2`, `net part zone z1` | these hear only each other |
+//! | `net cut n1 n2` | nothing goes from the first to the second; `store`, `list`, `routers` are ends too |
+//! | `net part n1 n2`, `net part zone z1` | these reach only each other |
 //! | `net heal` | all of the above is over |
+//! | `routers send 100`, `routers send 0` | requests a second from now on |
+//! | `routers wait served 50`, `routers wait quiet` | so many more are served; all have ended |
+//! | `rules hold` | no rule is broken: see [`Rig::broken_rules`] |
 //! | `all wait settled` | every process that runs has a settled view, the same, and true |
 //! | `n1 wait n2 STATE` | it holds that of it |
-//! | `n1 wait verdict KIND [OF]` | it judges so |
+//! | `n1 wait verdict KIND [OF]`, `n1 wait no verdict KIND` | it judges so, or no longer |
 //! | `n1 never verdict KIND` | it does not judge so now |
+//! | `n1 wait log PATTERN`, `n1 never log PATTERN` | a line of its log that begins with what stands behind `message=`, ever |
 //!
 //! A wait has a deadline; what it saw last is told when it passes.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
+use async_io::Async;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-use crate::machine::{Machine, Places};
+use crate::machine::{Places, Switchboard, start_engine};
 use crate::process::Platform;
-use crate::switch::Switch;
+use crate::routers::{Plan, Routers};
+use crate::script::{Step, matches, steps};
+use crate::store::{Crowd, Store, own_port};
+use crate::switch::{End, Switch};
+use crate::telemetry::classes;
 
 /// What does not come within this time does not come.
-const PATIENCE: Duration = Duration::from_secs(30);
+const PATIENCE: Duration = Duration::from_secs(40);
 /// Cores of each engine.
 const CORES: f64 = 2.0;
 /// Between two looks at a view.
 const LOOK: Duration = Duration::from_millis(50);
+/// A slowed process runs and stands in turns, which together take so long.
+const SLICE: Duration = Duration::from_millis(40);
+/// Slots of the store and time of its calls, where a script says nothing else.
+const SLOTS: usize = 64;
+const CALL: Duration = Duration::from_millis(5);
+/// Routers.
+const ROUTERS: usize = 3;
 
 /// What a rig is like.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Options {
     /// The program.
     pub program: PathBuf,
@@ -57,15 +83,26 @@
     pub period_ms: u64,
     /// What is drawn at random follows from it.
     pub seed: u64,
+    /// More lines of the section `[fleet]`.
+    pub fleet: String,
+    /// More sections of the edge file; `DIR` stands for the directory of the process.
+    pub edge: String,
 }
 
 struct Member {
+    /// In scripts.
     name: String,
+    /// In its configuration.
+    goes_by: String,
     zone: String,
     listen: SocketAddr,
-    engine: SocketAddr,
+    rpc: SocketAddr,
+    places: Places,
+    board: Switchboard,
     child: Option<Child>,
     stopped: bool,
+    /// Ends its slowness when it is set.
+    slow: Option<Arc<AtomicBool>>,
 }
 
 /// The processes and what is around them. They end with this value.
@@ -74,7 +111,10 @@
     members: Vec<Member>,
     /// Between them.
     pub switch: Switch,
-    places: Places,
+    /// The store that all share.
+    pub store: Store,
+    /// The routers in front.
+    pub routers: Routers,
 }
 
 /// A script that did not go as it says.
@@ -95,33 +135,44 @@
     }
 }
 
-/// Starts an engine for each member, and one store and list service for all, on a thread of their own.
-fn machines(members: usize) -> io::Result<Vec<Places>> {
-    let (sender, places) = std::sync::mpsc::channel();
+/// What is below the processes: an engine for each, the store, and the list service.
+struct Below {
+    engines: Vec<(SocketAddr, Switchboard)>,
+    store: Store,
+    list: SocketAddr,
+}
+
+/// Starts that on a thread of its own.
+fn below(members: usize) -> io::Result<Below> {
+    let (sender, started) = mpsc::channel();
     std::thread::spawn(move || {
         let executor = std::rc::Rc::new(async_executor::LocalExecutor::new());
-        let machine = Machine { cores: CORES, call: Duration::from_millis(5) };
-        for _ in 0..members {
-            let started = machine.start(&executor).map(|(places, _)| places);
-            if sender.send(started).is_err() {
-                return;
-            }
+        let start = || {
+            let engine = |_| {
+                let board = Switchboard::default();
+                start_engine(CORES, &board, &executor).map(|address| (address, board))
+            };
+            let engines: io::Result<Vec<_>> = (0..members).map(engine).collect();
+            let store = Store::start(Crowd::new(SLOTS, CALL), &executor)?;
+            let socket = Async::<std::net::UdpSocket>::bind(([127, 0, 0, 1], 0))?;
+            let list = socket.get_ref().local_addr()?;
+            let reports = async move {
+                let mut report = [0; 256];
+                while socket.recv(&mut report).await.is_ok() {}
+            };
+            executor.spawn(reports).detach();
+            Ok(Below { engines: engines?, store, list })
+        };
+        if sender.send(start()).is_ok() {
+            async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
         }
-        drop(sender);
-        async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
     });
-    places.iter().collect()
+    started.recv().map_err(io::Error::other)?
 }
 
-/// Members of all rigs of this process: each has an address of its own, so that no two are given one port.
-static MEMBERS: AtomicUsize = AtomicUsize::new(0);
-
-/// A port of loopback that nothing listens on now, at an address of its own: systems hand out ports at 127.0.0.1.
+/// A port of loopback that nothing listens on now, at an address of its own.
 fn free() -> io::Result<SocketAddr> {
-    let number = MEMBERS.fetch_add(1, Ordering::Relaxed);
-    let (high, low) = ((number / 250 % 100) as u8, 1 + (number % 250) as u8);
-    let host = [127, 77 + high, (std::process::id() % 250) as u8, low];
-    TcpListener::bind((std::net::Ipv4Addr::from(host), 0))?.local_addr()
+    own_port()?.local_addr()
 }
 
 impl Rig {
@@ -137,45 +188,72 @@
     /// Makes everything but starts no process.
     pub fn prepare(options: Options) -> io::Result<Rig> {
         std::fs::create_dir_all(&options.folder)?;
-        let machines = machines(options.members)?;
-        let mut members = Vec::new();
-        for (at, places) in machines.iter().enumerate() {
+        let Below { engines, store, list } = below(options.members)?;
+        let listens: io::Result<Vec<SocketAddr>> = (0..options.members).map(|_| free()).collect();
+        let listens = listens?;
+        let switch = Switch::start(listens.clone(), options.seed)?;
+        let (mut members, mut fronts, mut boards) = (Vec::new(), Vec::new(), Vec::new());
+        for (at, ((engine, board), listen)) in engines.into_iter().zip(listens).enumerate() {
+            let (end, of_store) = (End::Member(at), store.clone());
+            let places = Places {
+                engine,
+                store: switch.stream(end, End::Store, store.address, move || of_store.listens())?,
+                members: switch.datagrams(end, End::List, list)?,
+            };
+            let rpc = free()?;
+            fronts.push(switch.stream(End::Routers, end, rpc, || true)?);
+            boards.push(board.clone());
+            let name = format!("n{}", at + 1);
             members.push(Member {
-                name: format!("n{}", at + 1),
+                goes_by: name.clone(),
+                name,
                 zone: format!("z{}", at % options.zones.max(1) + 1),
-                listen: free()?,
-                engine: places.engine,
+                listen,
+                rpc,
+                places,
+                board,
                 child: None,
                 stopped: false,
+                slow: None,
             });
         }
-        let behind = members.iter().map(|member| member.listen).collect();
-        let switch = Switch::start(behind, options.seed)?;
-        let places =
-            machines.first().copied().ok_or_else(|| io::Error::other("a rig needs at least one member"))?;
-        Ok(Rig { options, members, switch, places })
+        let plan = Plan {
+            classes: classes(1.0).0,
+            rate: 0.0,
+            routers: ROUTERS,
+            repeat_keyed: false,
+            seed: options.seed,
+        };
+        let routers = Routers::start(plan, fronts, boards)?;
+        Ok(Rig { options, members, switch, store, routers })
     }
 
     fn spawn(&mut self, at: usize) -> io::Result<()> {
-        let Options { program, folder, period_ms, .. } = &self.options;
+        let Options { program, folder, period_ms, fleet, edge, seed, .. } = &self.options;
         let member = &mut self.members[at];
+        let own = folder.join(&member.name);
+        std::fs::create_dir_all(&own)?;
         let file = |name: &str, text: &str| -> io::Result<PathBuf> {
             let path = folder.join(format!("{}-{name}", member.name));
             std::fs::write(&path, text)?;
             Ok(path)
         };
         let platform = Platform {
-            name: &member.name,
-            places: Places { engine: member.engine, ..self.places },
-            seed: self.options.seed + at as u64,
+            name: &member.goes_by,
+            listen: member.rpc,
+            places: member.places,
+            seed: seed + at as u64,
             memory_mb: 64,
             sockets: 256,
             cores: CORES,
         };
         let seeds = self.switch.seeds();
         let edge = format!(
-            "[fleet]\nlisten = \"{}\"\nadvertise = \"{}\"\nzone = \"{}\"\nperiod_ms = {period_ms}.0\nseeds = {seeds}\n",
-            member.listen, self.switch.ports[at], member.zone
+            "[fleet]\nlisten = \"{}\"\nadvertise = \"{}\"\nzone = \"{}\"\nperiod_ms = {period_ms}.0\nseeds = {seeds}\n{fleet}\n{}\n",
+            member.listen,
+            self.switch.ports[at],
+            member.zone,
+            edge.replace("DIR", &own.display().to_string())
         );
         let log = std::fs::File::options()
             .create(true)
@@ -185,6 +263,7 @@
             .arg("--edge")
             .arg(file("edge.toml", &edge)?)
             .env("RELAY_CONFIG", file("config.json", &platform.file())?)
+            .env("PINEPOINT_TEST_CLOCK", folder.join(format!("{}-clock", member.name)))
             .stdin(Stdio::null())
             .stderr(log)
             .spawn()?;
@@ -197,10 +276,23 @@
         at.ok_or_else(|| Broken(format!("no member {name}")))
     }
 
-    fn signal(&self, at: usize, signal: Signal) -> io::Result<()> {
+    fn pid(&self, at: usize) -> io::Result<Pid> {
         let id = self.members[at].child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
-        let pid = id.and_then(Pid::from_raw).ok_or_else(|| io::Error::other("it does not run"))?;
-        Ok(kill_process(pid, signal)?)
+        id.and_then(Pid::from_raw).ok_or_else(|| io::Error::other("it does not run"))
+    }
+
+    fn signal(&self, at: usize, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(self.pid(at)?, signal)?)
+    }
+
+    /// The number by which the system knows a process that runs.
+    pub fn pid_of(&self, name: &str) -> Result<i32, Broken> {
+        Ok(self.pid(self.at(name)?)?.as_raw_nonzero().get())
+    }
+
+    /// The engine of a process.
+    pub fn board(&self, name: &str) -> Result<&Switchboard, Broken> {
+        Ok(&self.members[self.at(name)?].board)
     }
 
     /// The folder with the files and logs of the processes.
@@ -223,81 +315,273 @@
 
     /// Runs a script.
     pub fn run(&mut self, script: &str) -> Result<(), Broken> {
-        for line in script.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')) {
-            let words: Vec<&str> = line.split_whitespace().collect();
-            self.line(&words).map_err(|Broken(why)| Broken(format!("{line}: {why}")))?;
+        for step in steps(script) {
+            self.step(step).map_err(|Broken(why)| Broken(format!("{}: {why}", step.line)))?;
         }
         Ok(())
     }
 
-    fn line(&mut self, words: &[&str]) -> Result<(), Broken> {
-        match words {
-            ["net", words @ ..] => self.net(words),
-            ["all", "wait", "settled"] => self.await_settled(),
-            [name, verb] => {
-                let at = self.at(name)?;
-                self.act(at, verb)
-            }
-            [name, "wait", "verdict", kind, of @ ..] => {
-                let (at, of) = (self.at(name)?, of.first().copied());
-                self.await_view(at, |view| judges(view, kind, of))
-            }
-            [name, "wait", other, state] => {
-                let at = self.at(name)?;
-                self.await_view(at, |view| state_of(view, other) == Some(state))
-            }
-            [name, "never", "verdict", kind] => {
-                let view = self.view(self.at(name)?).ok_or_else(|| Broken("it does not answer".into()))?;
+    fn step(&mut self, step: Step<'_>) -> Result<(), Broken> {
+        let words: Vec<&str> = step.words.split_whitespace().collect();
+        match (step.actor, step.verb, words.as_slice()) {
+            ("net", verb, words) => self.net(verb, words),
+            ("store", verb, words) => self.change_store(verb, words),
+            ("list", "down", []) => {
+                let ends: Vec<End> = (0..self.members.len()).map(End::Member).collect();
+                self.switch.faults().cut.extend(ends.into_iter().map(|end| (end, End::List)));
+                Ok(())
+            }
+            ("list", "up", []) => {
+                self.switch.faults().cut.retain(|(_, to)| *to != End::List);
+                Ok(())
+            }
+            ("routers", "send", [rate]) => {
+                self.routers.set_rate(number(rate)?);
+                Ok(())
+            }
+            ("routers", "wait", ["served", n]) => {
+                let wanted = self.routers.book().all().served + number(n)? as u64;
+                self.await_routers(|book| book.all().served >= wanted)
+            }
+            ("routers", "wait", ["quiet"]) => self.await_routers(|book| book.open == 0),
+            ("rules", "hold", []) => {
+                let broken = self.broken_rules();
+                if broken.is_empty() { Ok(()) } else { Err(Broken(broken.join("; "))) }
+            }
+            ("all", "wait", ["settled"]) => self.await_settled(),
+            (actor, "wait", words) => self.await_each(actor, words),
+            (actor, "never", ["verdict", kind]) => self.each(actor, |rig, at| {
+                let view = rig.view(at).ok_or_else(|| Broken("it does not answer".into()))?;
                 if judges(&view, kind, None) { Err(Broken(view["verdicts"].to_string())) } else { Ok(()) }
+            }),
+            (actor, "never", ["log", ..]) => {
+                let pattern = step.words.trim_start_matches("log ");
+                self.each(actor, |rig, at| match rig.logged(at, pattern) {
+                    Some(line) => Err(Broken(line)),
+                    None => Ok(()),
+                })
+            }
+            (actor, verb, words) => {
+                let who = self.who(actor)?;
+                // All of them first, and only then what takes time.
+                for at in &who {
+                    self.act(*at, verb, words)?;
+                }
+                who.into_iter().try_for_each(|at| self.finish(at, verb))
+            }
+        }
+    }
+
+    /// The processes that an actor stands for.
+    fn who(&self, actor: &str) -> Result<Vec<usize>, Broken> {
+        if actor == "all" {
+            return Ok((0..self.members.len()).collect());
+        }
+        let mut who = Vec::new();
+        for word in actor.split(',') {
+            let of_zone = (0..self.members.len()).filter(|at| self.members[*at].zone == word);
+            let before = who.len();
+            who.extend(of_zone);
+            if who.len() == before {
+                who.push(self.at(word)?);
+            }
+        }
+        Ok(who)
+    }
+
+    fn each(&self, actor: &str, check: impl Fn(&Rig, usize) -> Result<(), Broken>) -> Result<(), Broken> {
+        let told = |at: usize, why: Broken| Broken(format!("{}: {why}", self.members[at].name));
+        self.who(actor)?.into_iter().try_for_each(|at| check(self, at).map_err(|why| told(at, why)))
+    }
+
+    fn await_each(&self, actor: &str, words: &[&str]) -> Result<(), Broken> {
+        match words {
+            ["verdict", kind, of @ ..] => {
+                let of = of.first().copied();
+                self.each(actor, |rig, at| rig.await_view(at, |view| judges(view, kind, of)))
+            }
+            ["no", "verdict", kind] => {
+                self.each(actor, |rig, at| rig.await_view(at, |view| !judges(view, kind, None)))
+            }
+            ["log", words @ ..] => {
+                let pattern = words.join(" ");
+                self.each(actor, |rig, at| {
+                    let until = Instant::now() + PATIENCE;
+                    while rig.logged(at, &pattern).is_none() {
+                        if Instant::now() > until {
+                            return Err(Broken("its log never said so".into()));
+                        }
+                        std::thread::sleep(LOOK);
+                    }
+                    Ok(())
+                })
+            }
+            [other, state] => {
+                self.at(other)?;
+                self.each(actor, |rig, at| rig.await_view(at, |view| state_of(view, other) == Some(state)))
             }
             _ => Err(Broken("no such line".into())),
         }
     }
 
-    fn act(&mut self, at: usize, verb: &str) -> Result<(), Broken> {
-        match verb {
-            "start" => self.spawn(at)?,
-            "kill" => {
-                if let Some(mut child) = self.members[at].child.take() {
-                    child.kill()?;
-                    child.wait()?;
-                }
+    /// A line of its log that is so from `message=` on.
+    fn logged(&self, at: usize, pattern: &str) -> Option<String> {
+        let file = self.options.folder.join(format!("{}.log", self.members[at].name));
+        let text = std::fs::read(file).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        let said = text.lines().map(|line| line.split_once(" message=").map_or(line, |(_, told)| told));
+        said.into_iter().find(|told| matches(pattern, told)).map(str::to_owned)
+    }
+
+    /// The rules that were broken so far: a second answer to one try, no answer by its time on a connection that lives,
+    /// `Busy` told of a key that has run, a key that was run twice, a fall of the store, a process that ended by itself.
+    pub fn broken_rules(&mut self) -> Vec<String> {
+        let mut broken = self.routers.book().broken.clone();
+        let mut runs: std::collections::BTreeMap<String, u32> = Default::default();
+        for member in &self.members {
+            for (body, n) in &member.board.power().begun {
+                *runs.entry(body.clone()).or_default() += n;
+            }
+        }
+        // Bodies of one request are the same in all its tries, and of no other.
+        let keyed = |body: &str| body.ends_with(" keyed");
+        let twice = runs.iter().filter(|(body, n)| **n > 1 && keyed(body));
+        broken.extend(twice.map(|(body, n)| format!("{body} was run {n} times")));
+        let falls = self.store.crowd().falls;
+        if falls > 0 {
+            broken.push(format!("the store fell {falls} times"));
+        }
+        for member in &mut self.members {
+            if let Some(Ok(Some(status))) = member.child.as_mut().map(Child::try_wait) {
+                broken.push(format!("{} ended by itself: {status}", member.name));
+            }
+        }
+        broken
+    }
+
+    fn await_routers(&self, is_so: impl Fn(&crate::routers::Book) -> bool) -> Result<(), Broken> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if is_so(&self.routers.book()) {
+                return Ok(());
             }
-            "stop" => {
+            std::thread::sleep(LOOK);
+        }
+        Err(Broken(format!("not so in time: {:?}", self.routers.book().all())))
+    }
+
+    fn change_store(&mut self, verb: &str, words: &[&str]) -> Result<(), Broken> {
+        let mut crowd = self.store.crowd();
+        let ms = |word: &str| number(word).map(|ms| Duration::from_secs_f64(ms / 1000.0));
+        match (verb, words) {
+            ("down", []) => crowd.down = true,
+            ("up", []) => crowd.down = false,
+            ("slots", [n]) => crowd.slots = number(n)? as usize,
+            ("call", [word]) => crowd.call = ms(word)?,
+            ("away", [word]) => crowd.away = ms(word)?,
+            _ => return Err(Broken("no such line".into())),
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, at: usize, verb: &str, words: &[&str]) -> Result<(), Broken> {
+        match (verb, words) {
+            ("start", []) => self.spawn(at)?,
+            ("kill", []) => {
+                self.be_slow(at, 1.0)?;
+                self.signal(at, Signal::KILL)?;
+            }
+            ("stop", []) => {
+                self.routers.book().excused.insert(at);
                 self.signal(at, Signal::STOP)?;
                 self.members[at].stopped = true;
             }
-            "continue" => {
+            ("continue", []) => {
                 self.signal(at, Signal::CONT)?;
                 self.members[at].stopped = false;
             }
-            "term" => {
-                self.signal(at, Signal::TERM)?;
-                if let Some(mut child) = self.members[at].child.take() {
-                    let status = child.wait()?;
-                    if !status.success() {
-                        return Err(Broken(format!("it ended with {status}")));
-                    }
-                }
+            ("slow", [part]) => self.be_slow(at, number(part)?)?,
+            ("term", []) => self.signal(at, Signal::TERM)?,
+            ("hup", []) => self.signal(at, Signal::HUP)?,
+            ("clock", [ms]) => {
+                number(ms)?;
+                let file = self.options.folder.join(format!("{}-clock", self.members[at].name));
+                std::fs::write(file, ms)?;
+            }
+            ("wipe", []) => std::fs::remove_dir_all(self.options.folder.join(&self.members[at].name))?,
+            ("named", [name]) => self.members[at].goes_by = (*name).to_owned(),
+            ("engine", ["down"]) => self.members[at].board.power().down = true,
+            ("engine", ["up"]) => self.members[at].board.power().down = false,
+            ("engine", ["chilly", ms]) => {
+                self.members[at].board.power().chilly = Duration::from_secs_f64(number(ms)? / 1000.0);
             }
-            _ => return Err(Broken("no such verb".into())),
+            _ => return Err(Broken("no such line".into())),
         }
         Ok(())
     }
 
-    fn net(&mut self, words: &[&str]) -> Result<(), Broken> {
-        let number = |word: &str| word.parse::<f64>().map_err(|error| Broken(format!("{word}: {error}")));
-        match words {
+    /// What an act takes time for.
+    fn finish(&mut self, at: usize, verb: &str) -> Result<(), Broken> {
+        if let "kill" | "term" = verb
+            && let Some(mut child) = self.members[at].child.take()
+        {
+            let status = child.wait()?;
+            if verb == "term" && !status.success() {
+                return Err(Broken(format!("it ended with {status}")));
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets a process run only in this part of the time.
+    fn be_slow(&mut self, at: usize, part: f64) -> Result<(), Broken> {
+        if let Some(over) = self.members[at].slow.take() {
+            over.store(true, Ordering::Relaxed);
+        }
+        if part >= 1.0 {
+            return Ok(());
+        }
+        self.routers.book().excused.insert(at);
+        let pid = self.pid(at)?;
+        let over = Arc::new(AtomicBool::new(false));
+        self.members[at].slow = Some(over.clone());
+        std::thread::spawn(move || {
+            let runs = SLICE.mul_f64(part.max(0.05));
+            while !over.load(Ordering::Relaxed) && kill_process(pid, Signal::STOP).is_ok() {
+                std::thread::sleep(SLICE - runs);
+                if kill_process(pid, Signal::CONT).is_err() {
+                    return;
+                }
+                std::thread::sleep(runs);
+            }
+            let _ = kill_process(pid, Signal::CONT);
+        });
+        Ok(())
+    }
+
+    /// The end of a way that goes by this name.
+    fn end(&self, name: &str) -> Result<End, Broken> {
+        Ok(match name {
+            "store" => End::Store,
+            "list" => End::List,
+            "routers" => End::Routers,
+            _ => End::Member(self.at(name)?),
+        })
+    }
+
+    fn net(&mut self, verb: &str, words: &[&str]) -> Result<(), Broken> {
+        let all: Vec<&str> = std::iter::once(verb).chain(words.iter().copied()).collect();
+        match all.as_slice() {
             ["heal"] => *self.switch.faults() = Default::default(),
             ["loss", part] => self.switch.faults().loss = number(part)?,
             ["twice", part] => self.switch.faults().twice = number(part)?,
             ["delay", ms] => self.switch.faults().delay_ms = number(ms)? as u64,
             ["deaf", name, part] => {
-                let (at, part) = (self.at(name)?, number(part)?);
-                self.switch.faults().deaf.insert(at, part);
+                let (end, part) = (self.end(name)?, number(part)?);
+                self.switch.faults().deaf.insert(end, part);
             }
             ["cut", from, to] => {
-                let pair = (self.at(from)?, self.at(to)?);
+                let pair = (self.end(from)?, self.end(to)?);
                 self.switch.faults().cut.insert(pair);
             }
             ["part", "zone", zone] => {
@@ -317,7 +601,7 @@
     fn part(&mut self, within: Vec<usize>) {
         let mut faults = self.switch.faults();
         let number = faults.part.values().max().copied().unwrap_or(0) + 1;
-        faults.part.extend(within.into_iter().map(|at| (at, number)));
+        faults.part.extend(within.into_iter().map(|at| (End::Member(at), number)));
     }
 
     fn await_view(&self, at: usize, is_so: impl Fn(&Value) -> bool) -> Result<(), Broken> {
@@ -382,6 +666,9 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         for member in &mut self.members {
+            if let Some(over) = &member.slow {
+                over.store(true, Ordering::Relaxed);
+            }
             if let Some(child) = &mut member.child {
                 let _ = child.kill();
                 let _ = child.wait();
@@ -390,6 +677,10 @@
     }
 }
 
+fn number(word: &str) -> Result<f64, Broken> {
+    word.parse::<f64>().map_err(|error| Broken(format!("{word}: {error}")))
+}
+
 /// What a view holds of a member.
 pub fn state_of<'a>(view: &'a Value, name: &str) -> Option<&'a str> {
     let members = view["members"].as_array()?;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,35 +1,82 @@
-//! Several processes of the program, and faults between them: what each comes to hold of the others.
+//! Several processes of the program, and faults between them: what each comes to hold of the others. Each course is a script
+//! in the language of the laboratory's rig; each wait in it is for an event and has a deadline.
 
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use pinepoint_fleet::member::{Identity, Load, Phase, Record, Standing};
+use pinepoint_fleet::wire::{Body, Codec, Message, Packet, Sender};
 use pinepoint_lab::rig::{Options, Rig};
 
-struct Course(Rig);
+/// Courses at once: a process that is not run looks dead, and these are to be stopped by scripts only.
+const AT_ONCE: usize = 3;
+static FREE: (Mutex<usize>, Condvar) = (Mutex::new(AT_ONCE), Condvar::new());
+
+struct Course {
+    rig: Rig,
+    _turn: Turn,
+}
+
+struct Turn;
+
+impl Turn {
+    fn wait() -> Turn {
+        let mut free = FREE.0.lock().unwrap_or_else(PoisonError::into_inner);
+        while *free == 0 {
+            free = FREE.1.wait(free).unwrap_or_else(PoisonError::into_inner);
+        }
+        *free -= 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *FREE.0.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        FREE.1.notify_one();
+    }
+}
 
 /// Processes in zones, with a period short enough for a test.
 fn course(name: &str, members: usize, zones: usize) -> Course {
+    bounded(name, members, zones, "")
+}
+
+/// The same with more lines in the section of the fleet.
+fn bounded(name: &str, members: usize, zones: usize, fleet: &str) -> Course {
+    let turn = Turn::wait();
     let folder = std::env::temp_dir().join(format!("pinepoint-fleet-{}-{name}", std::process::id()));
     let program = env!("CARGO_BIN_EXE_pinepoint").into();
-    let options = Options { program, folder, members, zones, period_ms: 150, seed: 5 };
-    Course(Rig::prepare(options).expect("a rig"))
+    let fleet = fleet.to_owned();
+    let options =
+        Options { program, folder, members, zones, period_ms: 150, seed: 5, fleet, ..Options::default() };
+    Course { rig: Rig::prepare(options).expect("a rig"), _turn: turn }
 }
 
 impl Course {
-    fn all_start(&mut self, members: usize) {
-        (1..=members).for_each(|n| self.run(&format!("n{n} start")));
-        self.run("all wait settled");
+    fn all_start(&mut self) {
+        self.run("all start\n all wait settled");
     }
 
     fn run(&mut self, script: &str) {
-        if let Err(broken) = self.0.run(script) {
-            panic!("{broken}");
+        if let Err(broken) = self.rig.run(script) {
+            panic!("{broken} (files in {})", self.rig.folder().display());
         }
     }
+
+    /// The view of the process of this number, from 1.
+    fn view(&self, n: usize) -> serde_json::Value {
+        self.rig.view(n - 1).expect("it answers")
+    }
 }
 
 impl Drop for Course {
     fn drop(&mut self) {
         // What a failed course leaves is worth a look.
         if !std::thread::panicking() {
-            let _ = std::fs::remove_dir_all(self.0.folder());
+            let _ = std::fs::remove_dir_all(self.rig.folder());
         }
     }
 }
@@ -37,7 +84,7 @@
 #[test]
 fn a_crash_a_restart_and_a_drain_come_to_be_held_by_all() {
     let mut course = course("crash", 5, 2);
-    course.all_start(5);
+    course.all_start();
     course.run(
         "n3 kill
          n1 wait n3 lost
@@ -57,14 +104,14 @@
 #[test]
 fn one_that_was_stopped_comes_back_to_all_and_accuses_nobody() {
     let mut course = course("stop", 5, 2);
-    course.all_start(5);
+    course.all_start();
     course.run(
         "n2 stop
          n1 wait n2 lost
          n2 continue
          all wait settled",
     );
-    let log = std::fs::read_to_string(course.0.folder().join("n2.log")).expect("its log");
+    let log = std::fs::read_to_string(course.rig.folder().join("n2.log")).expect("its log");
     assert!(log.contains("reason=own-trouble"), "it did not see that it was stopped: {log}");
     assert!(log.contains("reason=refuted"), "it was not told that it was held lost: {log}");
     let after = log.split_once("reason=own-trouble").map_or("", |(_, after)| after);
@@ -74,7 +121,7 @@
 #[test]
 fn halves_that_part_heal_and_a_zone_that_is_cut_off_is_judged() {
     let mut course = course("part", 6, 3);
-    course.all_start(6);
+    course.all_start();
     course.run(
         "net part zone z2
          n1 wait verdict zone-unreachable z2
@@ -98,7 +145,7 @@
 #[test]
 fn loss_delay_doubles_and_a_one_way_cut_make_nobody_lost() {
     let mut course = course("loss", 5, 1);
-    course.all_start(5);
+    course.all_start();
     course.run(
         "net loss 0.1
          net twice 0.2
@@ -116,13 +163,9 @@
 #[test]
 fn all_killed_at_once_come_back_in_another_order_and_hold_the_same() {
     let mut course = course("all", 5, 2);
-    course.all_start(5);
+    course.all_start();
     course.run(
-        "n1 kill
-         n2 kill
-         n3 kill
-         n4 kill
-         n5 kill
+        "all kill
          n5 start
          n4 start
          n2 start
@@ -136,34 +179,32 @@
 #[test]
 fn a_zone_that_is_killed_is_judged_gone_and_comes_back() {
     let mut course = course("zone", 6, 3);
-    course.all_start(6);
+    course.all_start();
     course.run(
-        "n2 kill
-         n5 kill
-         n1 wait verdict zone-unreachable z2
-         n4 wait verdict zone-unreachable z2
+        "z2 kill
+         z1,z3 wait verdict zone-unreachable z2
          n1 wait n2 lost
-         n1 never verdict self-cut-off
-         n2 start
-         n5 start
-         all wait settled",
+         z1,z3 never verdict self-cut-off
+         z2 start
+         all wait settled
+         z1,z3 wait no verdict zone-unreachable",
     );
 }
 
 #[test]
 fn garbage_is_not_answered_and_does_no_harm() {
     let mut course = course("garbage", 3, 1);
-    course.all_start(3);
-    let to = course.0.listen(0);
-    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
-    socket.set_read_timeout(Some(std::time::Duration::from_millis(300))).expect("set");
+    course.all_start();
+    let to = course.rig.listen(0);
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(Duration::from_millis(300))).expect("set");
     for n in 0..400_usize {
         let bytes: Vec<u8> = (0..n * 7 % 2000).map(|at| (at * 31 + n * 17) as u8 ^ (n % 3) as u8).collect();
         let _ = socket.send_to(&bytes, to);
     }
     assert!(socket.recv(&mut [0; 2000]).is_err(), "what is not understood is not answered");
     course.run("all wait settled");
-    let view = course.0.view(0).expect("it answers");
+    let view = course.view(1);
     assert_eq!(view["members"].as_array().map(Vec::len), Some(3), "{view}");
 }
 
@@ -181,3 +222,289 @@
          n3 wait n1 serving",
     );
 }
+
+#[test]
+fn all_seeds_are_down_at_the_start_and_one_appears() {
+    let mut course = course("seeds", 5, 2);
+    // The seeds are the first three.
+    course.run("n4,n5 start\n n4,n5 wait log started *");
+    assert_eq!(course.view(4)["members"].as_array().map(Vec::len), Some(1), "there was nobody to ask");
+    course.run("n2 start\n all wait settled\n n4 wait n5 serving");
+}
+
+#[test]
+fn killed_and_back_within_a_period_with_a_cold_engine_is_another_life() {
+    let mut course = course("cold", 4, 2);
+    course.all_start();
+    let start = |course: &Course| {
+        let view = course.view(1);
+        let members = view["members"].as_array().expect("members").clone();
+        members.iter().find(|member| member["name"] == "n2").expect("n2")["start"].as_u64()
+    };
+    let before = start(&course);
+    course.run(
+        "n2 engine chilly 20000
+         n2 kill
+         n2 start
+         n1,n3,n4 wait n2 cold
+         all wait settled",
+    );
+    assert!(start(&course) > before, "the start grows over lives");
+}
+
+#[test]
+fn a_third_that_is_slow_and_a_direction_that_loses_come_to_hold_the_same() {
+    let mut course = course("slow", 6, 3);
+    course.all_start();
+    course.run(
+        "n2,n5 slow 0.4
+         net deaf n4 0.3
+         net loss 0.2
+         n3 kill
+         n1,n4,n6 wait n3 lost
+         n2,n5 slow 1
+         net heal
+         n3 start
+         all wait settled",
+    );
+}
+
+#[test]
+fn thirds_and_one_alone_heal() {
+    let mut course = course("thirds", 6, 3);
+    course.all_start();
+    course.run(
+        "net part n1 n2
+         net part n3 n4
+         n1 wait n3 lost
+         n1 wait n5 lost
+         n3 wait n1 lost
+         n3 wait n6 lost
+         n6 wait n1 lost
+         n6 wait n3 lost
+         net heal
+         all wait settled
+         net part n6
+         n6 wait verdict self-cut-off
+         n1 wait n6 lost
+         n1 never verdict self-cut-off
+         net heal
+         all wait settled",
+    );
+}
+
+#[test]
+fn members_leave_crash_and_join_on_both_sides_of_a_partition() {
+    let mut course = course("sides", 8, 2);
+    course.run("n1,n2,n3,n4,n5,n6,n7 start\n all wait settled");
+    course.run(
+        "net part n1 n2 n3 n8
+         n1 wait n4 lost
+         n4 wait n1 lost
+         n2 term
+         n1 wait n2 left
+         n5 kill
+         n4 wait n5 lost
+         n3 kill
+         n1 wait n3 lost
+         n3 start
+         n1 wait n3 serving
+         n8 start
+         n1 wait n8 serving
+         # Its seeds are on the other side: it is found by those that lost it.
+         n5 start
+         n4 wait n5 serving
+         net heal
+         all wait settled",
+    );
+}
+
+#[test]
+fn a_zone_that_is_heard_and_does_not_hear_is_judged_cut_off() {
+    let mut course = course("deaf", 6, 3);
+    course.all_start();
+    for from in ["n1", "n3", "n4", "n6"] {
+        course.run(&format!("net cut {from} n2\n net cut {from} n5"));
+    }
+    course.run(
+        "z1,z3 wait verdict zone-cut-off z2
+         z1,z3 never verdict self-cut-off
+         z2 wait verdict self-cut-off
+         net heal
+         all wait settled
+         z1,z3 wait no verdict zone-cut-off",
+    );
+}
+
+#[test]
+fn with_the_list_service_down_half_is_replaced_in_steps_under_load() {
+    let mut course = course("steps", 6, 3);
+    course.run("list down");
+    course.all_start();
+    course.run(
+        "routers send 60
+         routers wait served 60",
+    );
+    for n in 1..=3 {
+        course.run(&format!(
+            "n{n} term
+             n4,n5,n6 wait n{n} left
+             n{n} start
+             n4,n5,n6 wait n{n} serving
+             routers wait served 20"
+        ));
+    }
+    course.run(
+        "routers send 0
+         routers wait quiet
+         all wait settled
+         rules hold",
+    );
+    let all = course.rig.routers.book().all();
+    assert_eq!(all.asked, all.served + all.refused + all.failed + all.lost, "{all:?}");
+}
+
+#[test]
+fn a_power_cut_under_load_with_cold_engines_leaves_one_fleet_and_no_rule_broken() {
+    let mut course = course("power", 6, 3);
+    course.all_start();
+    course.run(
+        "routers send 60
+         routers wait served 60
+         all engine chilly 2000
+         all kill
+         n6,n2 start
+         n4,n1 start
+         n5,n3 start
+         all wait settled
+         all wait verdict fleet-start
+         routers wait served 60
+         routers send 0
+         routers wait quiet
+         rules hold",
+    );
+}
+
+#[test]
+fn clocks_that_are_off_and_set_back_make_no_second_member_and_no_earlier_life() {
+    let mut course = course("clocks", 5, 2);
+    course.run("n2 clock 10000");
+    course.all_start();
+    course.run(
+        "n2 kill
+         n2 clock -3600000
+         n2 start
+         n2 wait log fleet-self *reason=start-raised*
+         all wait settled
+         n1 wait n2 serving
+         n3 clock 10000
+         n3 wait log fleet-self *reason=own-trouble*
+         all wait settled
+         n3 clock -10000
+         all wait settled",
+    );
+    assert_eq!(course.view(1)["members"].as_array().map(Vec::len), Some(5));
+}
+
+#[test]
+fn two_of_one_name_both_say_so_and_the_fleet_goes_on() {
+    let mut course = course("names", 4, 1);
+    course.run(
+        "n1,n2,n3 start
+         all wait settled
+         n4 named n1
+         n4 start
+         n1,n4 wait verdict name-clash
+         n4 kill
+         n1 wait log fleet-self *reason=start-raised*
+         all wait settled",
+    );
+}
+
+#[test]
+fn more_members_than_may_be_known_are_not_taken_and_that_is_told() {
+    let mut course = bounded("bound", 6, 1, "members = 4");
+    course.run(
+        "all start
+         n1 wait log fleet-disbelieved *reason=full*",
+    );
+    for n in 1..=6 {
+        let known = course.view(n)["members"].as_array().map_or(0, Vec::len);
+        assert!((1..=4).contains(&known), "n{n} holds {known}");
+    }
+}
+
+#[test]
+fn a_fleet_of_twelve_that_starts_in_one_instant_loses_a_zone_parts_and_heals() {
+    let mut course = course("twelve", 12, 3);
+    course.all_start();
+    course.run(
+        "z3 kill
+         z1,z2 wait verdict zone-unreachable z3
+         n1 wait n12 lost
+         net part zone z1
+         n1 wait n2 lost
+         n2 wait n1 lost
+         z3 start
+         net heal
+         all wait settled",
+    );
+}
+
+/// What one that goes by this name and start would send.
+fn message(name: &str, start: u64, standing: Standing, from: &UdpSocket, news: Vec<Record>) -> Message {
+    let address = from.local_addr().expect("bound");
+    let identity = Identity { name: name.to_owned(), zone: "z1".into(), address, cores: 2, instance: 77 };
+    let phase = Phase::Serving;
+    let record = Record { identity: Rc::new(identity), start, incarnation: 0, phase, standing, by: 0 };
+    let from = Sender { record, load: Load::default(), digest: 0, known: 9, now_ms: start as f64 };
+    Message::Peer(Packet { from, body: Body::Ping { seq: 7 }, news })
+}
+
+#[test]
+fn other_versions_other_fleets_cut_and_forged_messages_do_bounded_harm_that_is_told() {
+    let mut course = course("forged", 4, 1);
+    course.all_start();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(Duration::from_millis(300))).expect("set");
+    let now = course.view(1)["members"][0]["start"].as_u64().expect("a start");
+    let (own, other) = (Codec::new("pinepoint"), Codec::new("another"));
+    let sound = message("stranger", now, Standing::Alive, &socket, Vec::new());
+    let bytes = own.encode(&sound).expect("encoded");
+    let mut version = bytes.clone();
+    version[0] += 1;
+    let foreign = other.encode(&sound).expect("encoded");
+    let to = course.rig.listen(0);
+    for wrong in [&version[..], &foreign[..], &bytes[..bytes.len() - 3], &[]] {
+        socket.send_to(wrong, to).expect("sent");
+    }
+    assert!(socket.recv(&mut [0; 2000]).is_err(), "none of these is answered");
+    assert_eq!(course.view(1)["members"].as_array().map(Vec::len), Some(4), "none of these is a member");
+    // Sound, and false: a start of another century is not believed, a loss is refuted, one that never answers is lost.
+    let member = |n: usize| {
+        let view = course.view(n);
+        let own = view["members"].as_array().and_then(|all| all.iter().find(|m| m["name"] == view["self"]));
+        own.cloned().expect("itself")
+    };
+    let n3 = member(3);
+    let address = n3["address"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+    let of = |name: &str, start, standing, incarnation| {
+        let zone = "z1".into();
+        let identity = Identity { name: name.to_owned(), zone, address, cores: 2, instance: 9 };
+        let phase = Phase::Serving;
+        Record { identity: Rc::new(identity), start, incarnation, phase, standing, by: 1 }
+    };
+    let news = vec![
+        of("n2", u64::MAX, Standing::Alive, 0),
+        of("n3", n3["start"].as_u64().expect("a start") + 1, Standing::Lost, 3),
+    ];
+    let forged = message("stranger", now, Standing::Alive, &socket, news);
+    socket.send_to(&own.encode(&forged).expect("encoded"), to).expect("sent");
+    course.run(
+        "n1 wait log fleet-disbelieved *reason=forged-start*
+         n3 wait log fleet-self *reason=start-raised*
+         n1 wait log fleet-member name=stranger *reason=lost*
+         n1,n2,n4 wait n3 serving
+         all wait settled",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -1,5 +1,5 @@
-//! The scenario language of the node's tests, and the stand-ins it speaks through. A scenario is lines of
-//! `ACTOR VERB WORDS`; every actor has an inbox of text lines.
+//! The node's scenarios, and the stand-ins they speak through. A scenario is lines of `ACTOR VERB WORDS` (the language is
+//! the laboratory's, `pinepoint_lab::script`); every actor has an inbox of text lines.
 //!
 //! | verb | meaning |
 //! | --- | --- |
@@ -26,6 +26,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use pinepoint_lab::script::{Names, matches, steps};
+
 /// An event that does not come within this time does not come.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -394,7 +396,7 @@
     child: Arc<Mutex<Child>>,
     /// While it is held, nobody reads the program's log.
     pub log_gate: Arc<Mutex<()>>,
-    names: HashMap<String, String>,
+    names: Names,
     /// The configurations by the names that scenarios give them, and where the program reads its own.
     configs: HashMap<&'static str, String>,
     config: std::path::PathBuf,
@@ -481,7 +483,7 @@
             ajp: nowhere,
             child,
             log_gate,
-            names: HashMap::new(),
+            names: Names::default(),
             configs,
             config,
             edge,
@@ -563,11 +565,9 @@
 
     /// Runs a scenario.
     pub fn run(&mut self, scenario: &str) {
-        for step in scenario.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
-            let mut parts = step.splitn(3, ' ');
-            let actor = parts.next().expect("an actor");
-            let (verb, words) = (parts.next().expect(step), parts.next().unwrap_or(""));
-            let words = self.names.iter().fold(words.to_owned(), |w, (name, value)| w.replace(name, value));
+        for step in steps(scenario) {
+            let (actor, verb) = (step.actor, step.verb);
+            let words = self.names.put_in(step.words);
             let words = words.as_str();
             if !self.actors.contains_key(actor) {
                 let new = match &actor[..3] {
@@ -581,15 +581,8 @@
                 "send" => self.send(actor, words),
                 "expect" => {
                     let got = self.take(actor, words);
-                    let mut pattern = Vec::new();
-                    for (at, word) in words.split(' ').enumerate() {
-                        if word.starts_with('$') {
-                            let value = got.split(' ').nth(at).unwrap_or_default();
-                            self.names.insert(word.to_owned(), value.to_owned());
-                        }
-                        pattern.push(if word.starts_with('$') { "*" } else { word });
-                    }
-                    assert!(matches(&pattern.join(" "), &got), "{step}\n     got {got}");
+                    let pattern = self.names.learn(words, &got);
+                    assert!(matches(&pattern, &got), "{}\n     got {got}", step.line);
                 }
                 "wait" => {
                     self.wait(actor, words);
@@ -619,13 +612,3 @@
     let code = child.lock().expect("not poisoned").wait().ok().and_then(|status| status.code());
     let _ = sender.send(format!("exit {}", code.map_or("killed".into(), |c| c.to_string())));
 }
-
-/// Whether the text is the pattern, in which `*` stands for anything.
-fn matches(pattern: &str, text: &str) -> bool {
-    match pattern.split_once('*') {
-        None => pattern == text,
-        Some((head, rest)) => text.strip_prefix(head).is_some_and(|after| {
-            (0..=after.len()).any(|at| after.is_char_boundary(at) && matches(rest, &after[at..]))
-        }),
-    }
-}
