Give the rig's processes ports that the system never hands out

Seen: one of 20 repeats of the courses over processes failed, n10 of 12 never there. Its log: not-started, Address already in use. The port had been chosen by a bind of TCP and was free; the fleet's own question whether anybody listens (`knock`) binds a port of UDP at all addresses, and the system gave it that one. Excluded: a second process at the address (each has an address of its own). Changed: one port below those that the system hands out, at an address for each.

--- a/crates/pinepoint-lab/src/store.rs
+++ b/crates/pinepoint-lab/src/store.rs
@@ -3,7 +3,7 @@
 //! listens there until it is back. It owns its crowd and the count of it; scripts change it while it runs.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -150,16 +150,27 @@
     }
 }
 
-/// Ports handed out by this process.
-static PORTS: AtomicUsize = AtomicUsize::new(0);
+/// Addresses handed out by this process.
+static HOSTS: AtomicUsize = AtomicUsize::new(0);
+/// The port at each of them. Systems hand out ports from 32,768 on to those that ask for any, also at all addresses at once: one
+/// from there may be somebody else's whenever nobody listens at it.
+const PORT: u16 = 17_400;
 
-/// A port of loopback at an address of its own: no other that is handed out, by the system or by another process of the
-/// laboratory, is the same, also while nobody listens there.
+/// A port of loopback at an address of its own, for streams and datagrams: nobody else is given the same, also while
+/// nobody listens there.
 pub(crate) fn own_port() -> io::Result<TcpListener> {
-    let number = PORTS.fetch_add(1, Ordering::Relaxed);
-    let (high, low) = ((number / 250 % 100) as u8, 1 + (number % 250) as u8);
-    let host = [127, 77 + high, (std::process::id() % 250) as u8, low];
-    TcpListener::bind((std::net::Ipv4Addr::from(host), 0))
+    let mut last = io::ErrorKind::AddrInUse.into();
+    for _ in 0..1000 {
+        let number = HOSTS.fetch_add(1, Ordering::Relaxed);
+        let (high, low) = ((number / 250 % 100) as u8, 1 + (number % 250) as u8);
+        let host = std::net::Ipv4Addr::from([127, 77 + high, (std::process::id() % 250) as u8, low]);
+        // Another process of the laboratory may have it.
+        match UdpSocket::bind((host, PORT)).and_then(|_| TcpListener::bind((host, PORT))) {
+            Ok(listener) => return Ok(listener),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
 }
 
 /// Serves connections while this says so. While it does not nobody listens there, and those that were open are closed.
