Add the decisions of the ledger of keyed requests, and a model that searches its courses

Need: a key whose run may have begun must not run again in its window after a restart, nor be told that it was refused.

Change: crate pinepoint-ledger, linked nowhere yet: one state machine over intents, runs, ends, failing writes, bounds by key, caller and bytes; a judgement of the time between two lives. tests/model.rs runs it through every course of two keys, three tries and two cuts of power.

Found by the model while it was written: windows that were moved to a new clock were not written back, so that a second cut judged them by a mark they were not of, and a key ran twice ([Try, Try, Synced, Ends, Synced, Cut with the clock ahead, Cut, Try]). They are now written in one batch with the new mark.

--- /dev/null
+++ b/crates/pinepoint-ledger/src/lib.rs
@@ -0,0 +1,31 @@
+//! Which keyed requests were begun and how they ended, over restarts.
+//!
+//! What holds, as long as the store keeps its own promises ([`pinepoint_store`]):
+//! - In the window of a key its effect happens at most once, whenever the process ends and however often it is started.
+//! - A try whose run may have begun is never told that it was refused.
+//! - A result is kept before it is told; an intent before its run leaves.
+//! - Keys, keys of one caller and bytes of results are bounded; at a bound new keys are refused before they run, and no open
+//!   window is given up.
+//!
+//! What is not promised: an answer for a key that had begun when the power went. Nobody can know, and its tries fail.
+//!
+//! [`ledger`] decides and [`time`] judges what the clock did meanwhile. Neither does I/O or reads a clock.
+//!
+//! ```
+//! use pinepoint_ledger::ledger::{Action, Event, Ledger, Rules, Try};
+//! use pinepoint_ledger::time::Gap;
+//!
+//! let (mut ledger, _) = Ledger::open(Rules::default(), 0.0, Gap::Known(0.0), std::iter::empty());
+//! let mut out = Vec::new();
+//! let tried = Try { ticket: 1, key: b"k".to_vec(), caller: 1, digest: 7, t0_ms: 0.0, window_ms: 1000.0 };
+//! ledger.handle(0.0, Event::Try(tried), &mut out);
+//! assert!(matches!(out[..], [Action::Write(1, _)]), "the intent first");
+//! out.clear();
+//! ledger.handle(0.0, Event::Written(1, true), &mut out);
+//! assert_eq!(out, [Action::Run(1, b"k".to_vec())]);
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod ledger;
+pub mod time;
