Part how stand-ins listen from the store and the engines, which imported each other

The store took the line protocol from the machine, and the machine the ports from the store: a circle. Both stand in listen.rs now. No behaviour changes; crates/pinepoint-lab/tests/checkers.rs is green.

--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod collectd;
 pub mod fleet;
 pub mod graphite;
+mod listen;
 pub mod load;
 pub mod machine;
 pub mod process;
--- a/crates/pinepoint-lab/src/machine.rs
+++ b/crates/pinepoint-lab/src/machine.rs
@@ -14,7 +14,8 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
-use crate::store::{Crowd, Store, listen, own_port};
+use crate::listen::{line, listen, own_port};
+use crate::store::{Crowd, Store};
 
 /// Speed of an engine that is quite cold, as a part of its own.
 const COLD: f64 = 0.29;
@@ -175,17 +176,6 @@
     }
 }
 
-/// Takes a whole line off the front, with its body if its form has one.
-pub(crate) fn line(input: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
-    let end = input.windows(2).position(|two| two == b"\r\n")?;
-    let text = String::from_utf8_lossy(&input[..end]).into_owned();
-    let has_body = ["RUN ", "FEED ", "CALL "].iter().any(|head| text.starts_with(head));
-    let length = if has_body { text.rsplit(' ').next()?.parse::<usize>().ok()? + 2 } else { 0 };
-    let body = input.get(end + 2..end + 2 + length)?.to_vec();
-    input.drain(..end + 2 + length);
-    Some((text, body.strip_suffix(b"\r\n").unwrap_or(&body).to_vec()))
-}
-
 async fn serve_engine(mut stream: &Async<TcpStream>, engine: &RefCell<Engine>) -> io::Result<()> {
     let (mut input, mut chunk) = (Vec::new(), vec![0; 16 * 1024]);
     loop {
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -46,11 +46,12 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+use crate::listen::own_port;
 use crate::machine::{Places, Switchboard, start_engine};
 use crate::process::Platform;
 use crate::routers::{Plan, Routers};
 use crate::script::{Step, matches, steps};
-use crate::store::{Crowd, Store, own_port};
+use crate::store::{Crowd, Store};
 use crate::switch::{End, Switch};
 use crate::telemetry::classes;
 
--- a/crates/pinepoint-lab/src/store.rs
+++ b/crates/pinepoint-lab/src/store.rs
@@ -3,24 +3,21 @@
 //! listens there until it is back. It owns its crowd and the count of it; scripts change it while it runs.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
-use crate::machine::line;
+use crate::listen::{line, listen, own_port};
 
 /// How many times its slots in hand for how long make it fall.
 pub const FALL_OVER: f64 = 5.0;
 /// See above.
 pub const FALL_AFTER: Duration = Duration::from_secs(5);
-/// How often those that listen look whether they are to go on.
-const LOOK: Duration = Duration::from_millis(20);
 
 /// What the store is like, and what became of it.
 #[derive(Clone, Debug)]
@@ -149,69 +146,3 @@
         self.0.crowd().in_hand -= 1;
     }
 }
-
-/// Addresses handed out by this process.
-static HOSTS: AtomicUsize = AtomicUsize::new(0);
-/// The port at each of them. Systems hand out ports from 32,768 on to those that ask for any, also at all addresses at once: one
-/// from there may be somebody else's whenever nobody listens at it.
-const PORT: u16 = 17_400;
-
-/// A port of loopback at an address of its own, for streams and datagrams: nobody else is given the same, also while
-/// nobody listens there.
-pub(crate) fn own_port() -> io::Result<TcpListener> {
-    let mut last = io::ErrorKind::AddrInUse.into();
-    for _ in 0..1000 {
-        let number = HOSTS.fetch_add(1, Ordering::Relaxed);
-        let (high, low) = ((number / 250 % 100) as u8, 1 + (number % 250) as u8);
-        let host = std::net::Ipv4Addr::from([127, 77 + high, (std::process::id() % 250) as u8, low]);
-        // Another process of the laboratory may have it.
-        match UdpSocket::bind((host, PORT)).and_then(|_| TcpListener::bind((host, PORT))) {
-            Ok(listener) => return Ok(listener),
-            Err(error) => last = error,
-        }
-    }
-    Err(last)
-}
-
-/// Serves connections while this says so. While it does not nobody listens there, and those that were open are closed.
-pub(crate) fn listen<S, F>(
-    listener: TcpListener,
-    is_up: impl Fn() -> bool + Clone + 'static,
-    serve: S,
-    executor: Rc<LocalExecutor<'static>>,
-) -> io::Result<impl Future<Output = ()>>
-where
-    S: Fn(Async<TcpStream>) -> F,
-    F: Future<Output = io::Result<()>> + 'static,
-{
-    async fn look<T>() -> Option<T> {
-        Timer::after(LOOK).await;
-        None
-    }
-    let address = listener.local_addr()?;
-    let mut listener = Some(Async::new(listener)?);
-    Ok(async move {
-        loop {
-            if listener.is_none() && is_up() {
-                listener = Async::<TcpListener>::bind(address).ok();
-            }
-            let Some(open) = listener.as_ref().filter(|_| is_up()) else {
-                listener = None;
-                Timer::after(LOOK).await;
-                continue;
-            };
-            let accepted = async { open.accept().await.ok().map(|(stream, _)| stream) };
-            if let Some(stream) = future::or(accepted, look()).await {
-                let _ = stream.get_ref().set_nodelay(true);
-                let (served, is_up) = (serve(stream), is_up.clone());
-                let until_down = async move {
-                    while is_up() {
-                        Timer::after(LOOK).await;
-                    }
-                    Ok(())
-                };
-                executor.spawn(future::or(served, until_down)).detach();
-            }
-        }
-    })
-}
--- a/crates/pinepoint-lab/src/switch.rs
+++ b/crates/pinepoint-lab/src/switch.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::store::{listen, own_port};
+use crate::listen::{listen, own_port};
 
 /// Who is at an end of a way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
