--- /dev/null
+++ b/crates/pinepoint-store/benches/measure.rs
@@ -0,0 +1,163 @@
+//! What the measurement page of the store shows, on a real directory: batches a second that share a sync or not, the time of an opening by
+//! entries, bytes an entry. `cargo bench -p pinepoint-store --bench measure -- commit --dir DIR`
+
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+use clap::{Parser, ValueEnum};
+use pinepoint_store::files::{Files, OpenError};
+use pinepoint_store::log::Change;
+use pinepoint_store::store::{Action, Durability, Event, Rules, Store};
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum What {
+    /// Durable batches a second, by how many wait at once
+    Commit,
+    /// Time of an opening, and bytes an entry on disk and in memory, by entries
+    Open,
+}
+
+#[derive(Parser)]
+struct Cli {
+    what: What,
+    /// Where its files go
+    #[arg(long)]
+    dir: PathBuf,
+    /// Batches of each run
+    #[arg(long, default_value_t = 4096)]
+    batches: u64,
+    /// Turns
+    #[arg(long, default_value_t = 5)]
+    turns: usize,
+    /// That cargo passes along.
+    #[arg(long, hide = true)]
+    bench: bool,
+}
+
+const NOW: f64 = 1e12;
+
+fn rules() -> Rules {
+    Rules { segment_bytes: 4 << 20, disk_bytes: 4 << 30, memory_bytes: 2 << 30, ..Rules::default() }
+}
+
+struct Open {
+    store: Store,
+    files: Files,
+}
+
+impl Open {
+    fn new(dir: &Path) -> Open {
+        let files = loop {
+            match Files::open(dir) {
+                Ok(files) => break files,
+                Err(OpenError::InUse(_)) => std::thread::yield_now(),
+                Err(error) => panic!("{error}"),
+            }
+        };
+        let mut out = Vec::new();
+        let store = Store::open(rules(), 0.0, &mut out);
+        let mut open = Open { store, files };
+        open.carry_out(out);
+        open
+    }
+
+    fn carry_out(&mut self, mut actions: Vec<Action>) {
+        while !actions.is_empty() {
+            let mut next = Vec::new();
+            for action in actions {
+                let Action::Disk(request) = action else { continue };
+                self.files.requests.send_blocking(request).expect("the thread runs");
+                let answer = self.files.answers.recv_blocking().expect("the thread answers");
+                self.store.handle(NOW, Event::Disk(answer), &mut next);
+            }
+            actions = next;
+        }
+    }
+
+    /// Writes these, all of which wait at once.
+    fn put(&mut self, keys: std::ops::Range<u64>) {
+        let mut out = Vec::new();
+        for n in keys {
+            let change = Change {
+                table: "ledger".into(),
+                key: n.to_be_bytes().to_vec(),
+                value: Some(vec![n as u8; 64]),
+                end_ms: NOW + 1e9,
+            };
+            self.store.handle(NOW, Event::Write(n, vec![change], Durability::Durable), &mut out);
+        }
+        self.carry_out(out);
+    }
+}
+
+fn folder(dir: &Path, name: &str) -> PathBuf {
+    let folder = dir.join(format!("pinepoint-store-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn commit(cli: &Cli) {
+    println!("| batches that wait at once | a second, median of {} turns | to one at a time |", cli.turns);
+    let at_once = [1_u64, 8, 64, 512];
+    let mut rates = vec![Vec::new(); at_once.len()];
+    for turn in 0..cli.turns {
+        for (at, n) in at_once.iter().enumerate() {
+            let dir = folder(&cli.dir, &format!("{turn}-{n}"));
+            let mut open = Open::new(&dir);
+            // One at a time is slow: fewer are enough.
+            let batches = if *n == 1 { cli.batches / 16 } else { cli.batches };
+            let began = Instant::now();
+            (0..batches / n).for_each(|round| open.put(round * n..(round + 1) * n));
+            rates[at].push(batches as f64 / began.elapsed().as_secs_f64());
+            drop(open);
+            let _ = std::fs::remove_dir_all(&dir);
+        }
+    }
+    let middle = |mut all: Vec<f64>| {
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    let rates: Vec<f64> = rates.into_iter().map(middle).collect();
+    for (n, rate) in at_once.iter().zip(&rates) {
+        println!("| {n} | {rate:.0} | {:.1} |", rate / rates[0]);
+    }
+}
+
+fn open(cli: &Cli) {
+    println!("| entries | opening, ms, median of {} | bytes an entry on disk | in memory |", cli.turns);
+    for entries in [10_000_u64, 100_000, 1_000_000] {
+        let dir = folder(&cli.dir, &format!("open-{entries}"));
+        let mut store = Open::new(&dir);
+        (0..entries / 1000).for_each(|round| store.put(round * 1000..(round + 1) * 1000));
+        let (disk, memory) = store.store.bytes();
+        drop(store);
+        let mut took = Vec::new();
+        for _ in 0..cli.turns {
+            // The lock first: it is given up a moment after.
+            while matches!(Files::open(&dir).map(drop), Err(OpenError::InUse(_))) {
+                std::thread::yield_now();
+            }
+            let began = Instant::now();
+            let open = Open::new(&dir);
+            took.push(began.elapsed().as_secs_f64() * 1000.0);
+            assert!(open.store.get(NOW, "ledger", &(entries - 1).to_be_bytes()).is_some());
+        }
+        took.sort_by(f64::total_cmp);
+        let each = |bytes: f64| bytes / entries as f64;
+        println!(
+            "| {entries} | {:.1} | {:.0} | {:.0} |",
+            took[took.len() / 2],
+            each(disk as f64),
+            each(memory as f64)
+        );
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+}
+
+fn main() {
+    let cli = Cli::parse();
+    match cli.what {
+        What::Commit => commit(&cli),
+        What::Open => open(&cli),
+    }
+}
