--- a/crates/pinepoint-lab/src/fleet.rs
+++ b/crates/pinepoint-lab/src/fleet.rs
@@ -40,12 +40,21 @@
     pub cpu: Option<usize>,
 }
 
-/// One turn of one side: times of what was served, time on a core, s, and requests.
+/// One turn of one side: times of what was served, time on a core, s, requests, and time that the machine under this one took
+/// for others, s.
 #[derive(Clone, Debug)]
 struct Outcome {
     latency: Histogram<u64>,
     cpu_s: f64,
     sent: u64,
+    stolen_s: f64,
+}
+
+/// Time that this machine's cores were not given, s since it runs ("steal" in proc(5)).
+fn stolen_s() -> f64 {
+    let stat = std::fs::read_to_string("/proc/stat").unwrap_or_default();
+    let ticks = stat.lines().next().and_then(|line| line.split_whitespace().nth(8)?.parse::<f64>().ok());
+    ticks.unwrap_or(0.0) / 100.0
 }
 
 /// Several turns as one.
@@ -58,6 +67,7 @@
                 let _ = all.latency.add(&turn.latency);
                 all.cpu_s += turn.cpu_s;
                 all.sent += turn.sent;
+                all.stolen_s += turn.stolen_s;
             }
         }
     }
@@ -96,7 +106,7 @@
     seed: u64,
     executor: &Rc<LocalExecutor<'static>>,
 ) -> io::Result<Outcome> {
-    let before = process.cost();
+    let (before, stolen) = (process.cost(), stolen_s());
     let (classes, rate) = classes(options.part);
     let plan =
         Plan { classes, rate, ajp: 0.0, length: options.length, connections: (12, 0), spread: 0.5, seed };
@@ -104,7 +114,7 @@
     // What is left in the engine is worked off, so that no turn pays for the one before it.
     Timer::after(Duration::from_millis(300)).await;
     let cpu_s = process.cost().cpu_s - before.cpu_s;
-    Ok(Outcome { sent: seen.all().sent, latency: seen.latency, cpu_s })
+    Ok(Outcome { sent: seen.all().sent, latency: seen.latency, cpu_s, stolen_s: stolen_s() - stolen })
 }
 
 /// Runs all turns, off and on in each; tells progress on standard error. Ratios are on to off; the interval holds 95 of 100
@@ -149,6 +159,11 @@
     Ok(report(&rows))
 }
 
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
 fn report(rows: &[(Outcome, Outcome)]) -> Value {
     let sides = |rows: &[&(Outcome, Outcome)]| {
         (pooled(rows.iter().map(|row| &row.0)), pooled(rows.iter().map(|row| &row.1)))
@@ -156,23 +171,28 @@
     let all: Vec<&(Outcome, Outcome)> = rows.iter().collect();
     let (off, on) = sides(&all);
     let mut random = Pcg64Mcg::seed_from_u64(1);
-    let drawn: Vec<(Outcome, Outcome)> = (0..RESAMPLES)
-        .map(|_| {
-            let some: Vec<&(Outcome, Outcome)> =
-                (0..rows.len()).map(|_| &rows[random.random_range(0..rows.len())]).collect();
-            sides(&some)
-        })
+    let draws: Vec<Vec<usize>> = (0..RESAMPLES)
+        .map(|_| (0..rows.len()).map(|_| random.random_range(0..rows.len())).collect())
         .collect();
+    let drawn: Vec<(Outcome, Outcome)> =
+        draws.iter().map(|draw| sides(&draw.iter().map(|at| &rows[*at]).collect::<Vec<_>>())).collect();
     let told = |of: &dyn Fn(&Outcome) -> f64| {
         let mut ratios: Vec<f64> = drawn.iter().map(|(off, on)| of(on) / of(off)).collect();
         ratios.sort_by(f64::total_cmp);
         let at = |part: f64| ratios[((ratios.len() - 1) as f64 * part) as usize];
         let turns: Vec<f64> = rows.iter().map(|(off, on)| of(on) / of(off)).collect();
+        // A turn in which the machine was busy elsewhere spoils a sum and hardly moves a median.
+        let mut medians: Vec<f64> =
+            draws.iter().map(|draw| median(draw.iter().map(|at| turns[*at]).collect())).collect();
+        medians.sort_by(f64::total_cmp);
+        let of_medians = |part: f64| medians[((medians.len() - 1) as f64 * part) as usize];
         json!({ "off": of(&off), "on": of(&on), "ratio": of(&on) / of(&off), "interval": [at(0.025), at(0.975)],
-                "turns": turns })
+                "median_of_turns": median(turns.clone()),
+                "its_interval": [of_medians(0.025), of_medians(0.975)], "turns": turns })
     };
     json!({
         "requests": [off.sent, on.sent],
+        "stolen_s": [off.stolen_s, on.stolen_s],
         "p50_ms": told(&|o| ms(o, 0.5)),
         "p99_ms": told(&|o| ms(o, 0.99)),
         "cpu_ms_a_request": told(&cpu_ms),
