Take out of store, ledger and rig what was written twice, walked in vain or never read

Seen on reading the whole change again. The head of a segment and each segment kept a time that nothing read (log.rs, store.rs). The ledger looked through all keys for the one whose write had come back, up to 20,000 for each durable write, and through all for a caller that left (written, Gone). The rig had four loops that wait with a deadline, the cost of the view two that make an interval, and tests and measure of the store each a driver of their own.

Changed: one of each; the ledger keeps the key of each write under way, and Gone names its key. No behaviour changes but that the form on disk, which nothing uses yet, is 8 bytes shorter a segment.

--- a/crates/pinepoint-lab/src/fleet.rs
+++ b/crates/pinepoint-lab/src/fleet.rs
@@ -164,6 +164,12 @@
     values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
 }
 
+/// What 95 of 100 of these lie between.
+fn interval(mut values: Vec<f64>) -> [f64; 2] {
+    values.sort_by(f64::total_cmp);
+    [0.025, 0.975].map(|part| values[((values.len() - 1) as f64 * part) as usize])
+}
+
 fn report(rows: &[(Outcome, Outcome)]) -> Value {
     let sides = |rows: &[&(Outcome, Outcome)]| {
         (pooled(rows.iter().map(|row| &row.0)), pooled(rows.iter().map(|row| &row.1)))
@@ -177,18 +183,13 @@
     let drawn: Vec<(Outcome, Outcome)> =
         draws.iter().map(|draw| sides(&draw.iter().map(|at| &rows[*at]).collect::<Vec<_>>())).collect();
     let told = |of: &dyn Fn(&Outcome) -> f64| {
-        let mut ratios: Vec<f64> = drawn.iter().map(|(off, on)| of(on) / of(off)).collect();
-        ratios.sort_by(f64::total_cmp);
-        let at = |part: f64| ratios[((ratios.len() - 1) as f64 * part) as usize];
+        let ratios = drawn.iter().map(|(off, on)| of(on) / of(off)).collect();
         let turns: Vec<f64> = rows.iter().map(|(off, on)| of(on) / of(off)).collect();
         // A turn in which the machine was busy elsewhere spoils a sum and hardly moves a median.
-        let mut medians: Vec<f64> =
-            draws.iter().map(|draw| median(draw.iter().map(|at| turns[*at]).collect())).collect();
-        medians.sort_by(f64::total_cmp);
-        let of_medians = |part: f64| medians[((medians.len() - 1) as f64 * part) as usize];
-        json!({ "off": of(&off), "on": of(&on), "ratio": of(&on) / of(&off), "interval": [at(0.025), at(0.975)],
+        let medians = draws.iter().map(|draw| median(draw.iter().map(|at| turns[*at]).collect())).collect();
+        json!({ "off": of(&off), "on": of(&on), "ratio": of(&on) / of(&off), "interval": interval(ratios),
                 "median_of_turns": median(turns.clone()),
-                "its_interval": [of_medians(0.025), of_medians(0.975)], "turns": turns })
+                "its_interval": interval(medians), "turns": turns })
     };
     json!({
         "requests": [off.sent, on.sent],
--- a/crates/pinepoint-lab/src/rig.rs
+++ b/crates/pinepoint-lab/src/rig.rs
@@ -349,7 +349,7 @@
                 let broken = self.broken_rules();
                 if broken.is_empty() { Ok(()) } else { Err(Broken(broken.join("; "))) }
             }
-            ("all", "wait", ["settled"]) => self.await_settled(),
+            ("all", "wait", ["settled"]) => self.wait(|| self.untrue()),
             (actor, "wait", words) => self.await_each(actor, words),
             (actor, "never", ["verdict", kind]) => self.each(actor, |rig, at| {
                 let view = rig.view(at).ok_or_else(|| Broken("it does not answer".into()))?;
@@ -406,16 +406,10 @@
             }
             ["log", words @ ..] => {
                 let pattern = words.join(" ");
-                self.each(actor, |rig, at| {
-                    let until = Instant::now() + PATIENCE;
-                    while rig.logged(at, &pattern).is_none() {
-                        if Instant::now() > until {
-                            return Err(Broken("its log never said so".into()));
-                        }
-                        std::thread::sleep(LOOK);
-                    }
-                    Ok(())
-                })
+                let amiss = |rig: &Rig, at| {
+                    rig.logged(at, &pattern).is_none().then(|| "its log never said so".to_owned())
+                };
+                self.each(actor, |rig, at| rig.wait(|| amiss(rig, at)))
             }
             [other, state] => {
                 self.at(other)?;
@@ -460,15 +454,23 @@
         broken
     }
 
-    fn await_routers(&self, is_so: impl Fn(&crate::routers::Book) -> bool) -> Result<(), Broken> {
+    /// Looks until nothing is amiss any more; tells what was amiss last if that does not come in time.
+    fn wait(&self, amiss: impl Fn() -> Option<String>) -> Result<(), Broken> {
         let until = Instant::now() + PATIENCE;
-        while Instant::now() < until {
-            if is_so(&self.routers.book()) {
-                return Ok(());
+        loop {
+            let Some(why) = amiss() else { return Ok(()) };
+            if Instant::now() >= until {
+                return Err(Broken(format!("not so in time: {why}")));
             }
             std::thread::sleep(LOOK);
         }
-        Err(Broken(format!("not so in time: {:?}", self.routers.book().all())))
+    }
+
+    fn await_routers(&self, is_so: impl Fn(&crate::routers::Book) -> bool) -> Result<(), Broken> {
+        self.wait(|| {
+            let book = self.routers.book();
+            (!is_so(&book)).then(|| format!("{:?}", book.all()))
+        })
     }
 
     fn change_store(&mut self, verb: &str, words: &[&str]) -> Result<(), Broken> {
@@ -606,18 +608,10 @@
     }
 
     fn await_view(&self, at: usize, is_so: impl Fn(&Value) -> bool) -> Result<(), Broken> {
-        let until = Instant::now() + PATIENCE;
-        let mut last = Value::Null;
-        while Instant::now() < until {
-            if let Some(view) = self.view(at) {
-                if is_so(&view) {
-                    return Ok(());
-                }
-                last = view;
-            }
-            std::thread::sleep(LOOK);
-        }
-        Err(Broken(format!("not so in time; it holds {last}")))
+        self.wait(|| match self.view(at) {
+            Some(view) if is_so(&view) => None,
+            view => Some(format!("it holds {}", view.unwrap_or(Value::Null))),
+        })
     }
 
     /// Who runs and is not stopped.
@@ -626,19 +620,6 @@
         self.members.iter().enumerate().filter(|(_, member)| runs(member)).map(|(at, _)| at).collect()
     }
 
-    fn await_settled(&self) -> Result<(), Broken> {
-        let until = Instant::now() + PATIENCE;
-        let mut last = String::new();
-        while Instant::now() < until {
-            match self.untrue() {
-                None => return Ok(()),
-                Some(why) => last = why,
-            }
-            std::thread::sleep(LOOK);
-        }
-        Err(Broken(format!("not so in time: {last}")))
-    }
-
     /// What is not settled, not the same or not true, if anything.
     fn untrue(&self) -> Option<String> {
         let running = self.running();
--- a/crates/pinepoint-ledger/src/ledger.rs
+++ b/crates/pinepoint-ledger/src/ledger.rs
@@ -108,8 +108,8 @@
     Written(u64, bool),
     /// The run of this key is over.
     Ended(Key, End),
-    /// Nobody waits for this try any more.
-    Gone(u64),
+    /// Nobody waits for this try of this key any more.
+    Gone(u64, Key),
     /// The store does not write any more, or does again.
     Store(bool),
     /// Time has passed.
@@ -208,6 +208,8 @@
     callers: BTreeMap<u64, usize>,
     result_bytes: usize,
     writes: u64,
+    /// The key of each write that is under way.
+    writing: BTreeMap<u64, Key>,
     has_store: bool,
 }
 
@@ -240,6 +242,7 @@
             callers: BTreeMap::new(),
             result_bytes: 0,
             writes: 0,
+            writing: BTreeMap::new(),
             has_store: true,
         };
         let mut opened = Opened::default();
@@ -281,8 +284,10 @@
             Event::Try(tried) => self.tried(now, tried, out),
             Event::Written(number, durable) => self.written(number, durable, out),
             Event::Ended(key, end) => self.ended(key, end, out),
-            Event::Gone(ticket) => {
-                self.entries.values_mut().for_each(|entry| entry.waiting.retain(|waits| *waits != ticket));
+            Event::Gone(ticket, key) => {
+                if let Some(entry) = self.entries.get_mut(&key) {
+                    entry.waiting.retain(|waits| *waits != ticket);
+                }
             }
             Event::Store(writes) => self.has_store = writes,
             Event::Tick => self.sweep(now, out),
@@ -320,6 +325,7 @@
 
     fn write(&mut self, key: &Key, kept: &Kept, out: &mut Vec<Action>) -> u64 {
         self.writes += 1;
+        self.writing.insert(self.writes, key.clone());
         out.push(Action::Write(self.writes, vec![Self::change(key, Some(kept))]));
         self.writes
     }
@@ -382,21 +388,15 @@
     }
 
     fn written(&mut self, number: u64, durable: bool, out: &mut Vec<Action>) {
-        let of = |entry: &Entry| match entry.state {
-            State::Intending(n) | State::Ending(n, _) => n == number,
-            _ => false,
-        };
-        let Some(key) = self.entries.iter().find(|(_, entry)| of(entry)).map(|(key, _)| key.clone()) else {
-            return;
-        };
+        let Some(key) = self.writing.remove(&number) else { return };
         let Some(entry) = self.entries.get_mut(&key) else { return };
         match entry.state.clone() {
-            State::Intending(_) if durable => {
+            State::Intending(n) if n == number && durable => {
                 entry.state = State::Running;
                 let first = entry.first;
                 out.extend(first.map(|ticket| Action::Run(ticket, key)));
             }
-            State::Intending(_) => {
+            State::Intending(n) if n == number => {
                 // Nothing has left. The intent may be found after a restart, and then keeps the key from running: no harm.
                 if let Some(entry) = self.remove(&key) {
                     let all = entry.first.into_iter().chain(entry.waiting);
@@ -404,7 +404,7 @@
                 }
             }
             // Whether the end is safe or not, what was done is told: without it the intent stands, and the key is not run again.
-            State::Ending(_, end) => self.over(&key, end, out),
+            State::Ending(n, end) if n == number => self.over(&key, end, out),
             _ => {}
         }
     }
--- a/crates/pinepoint-store/benches/measure.rs
+++ b/crates/pinepoint-store/benches/measure.rs
@@ -1,13 +1,17 @@
 //! What the measurement page of the store shows, on a real directory: batches a second that share a sync or not, the time of an opening by
 //! entries, bytes an entry. `cargo bench -p pinepoint-store --bench measure -- commit --dir DIR`
 
+#[path = "../tests/drive/mod.rs"]
+mod drive;
+
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 use clap::{Parser, ValueEnum};
+use drive::Open;
 use pinepoint_store::files::{Files, OpenError};
 use pinepoint_store::log::Change;
-use pinepoint_store::store::{Action, Durability, Event, Rules, Store};
+use pinepoint_store::store::Rules;
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum What {
@@ -40,54 +44,12 @@
     Rules { segment_bytes: 4 << 20, disk_bytes: 4 << 30, memory_bytes: 2 << 30, ..Rules::default() }
 }
 
-struct Open {
-    store: Store,
-    files: Files,
-}
-
-impl Open {
-    fn new(dir: &Path) -> Open {
-        let files = loop {
-            match Files::open(dir) {
-                Ok(files) => break files,
-                Err(OpenError::InUse(_)) => std::thread::yield_now(),
-                Err(error) => panic!("{error}"),
-            }
-        };
-        let mut out = Vec::new();
-        let store = Store::open(rules(), 0.0, &mut out);
-        let mut open = Open { store, files };
-        open.carry_out(out);
-        open
-    }
-
-    fn carry_out(&mut self, mut actions: Vec<Action>) {
-        while !actions.is_empty() {
-            let mut next = Vec::new();
-            for action in actions {
-                let Action::Disk(request) = action else { continue };
-                self.files.requests.send_blocking(request).expect("the thread runs");
-                let answer = self.files.answers.recv_blocking().expect("the thread answers");
-                self.store.handle(NOW, Event::Disk(answer), &mut next);
-            }
-            actions = next;
-        }
-    }
-
-    /// Writes these, all of which wait at once.
-    fn put(&mut self, keys: std::ops::Range<u64>) {
-        let mut out = Vec::new();
-        for n in keys {
-            let change = Change {
-                table: "ledger".into(),
-                key: n.to_be_bytes().to_vec(),
-                value: Some(vec![n as u8; 64]),
-                end_ms: NOW + 1e9,
-            };
-            self.store.handle(NOW, Event::Write(n, vec![change], Durability::Durable), &mut out);
-        }
-        self.carry_out(out);
-    }
+/// Writes the entries of these numbers, all of which wait at once.
+fn put(open: &mut Open, numbers: std::ops::Range<u64>) {
+    open.put(numbers.map(|n| {
+        let (key, value) = (n.to_be_bytes().to_vec(), Some(vec![n as u8; 64]));
+        (n, Change { table: "ledger".into(), key, value, end_ms: NOW + 1e9 })
+    }));
 }
 
 fn folder(dir: &Path, name: &str) -> PathBuf {
@@ -103,11 +65,11 @@
     for turn in 0..cli.turns {
         for (at, n) in at_once.iter().enumerate() {
             let dir = folder(&cli.dir, &format!("{turn}-{n}"));
-            let mut open = Open::new(&dir);
+            let mut open = Open::new(&dir, rules(), NOW);
             // One at a time is slow: fewer are enough.
             let batches = if *n == 1 { cli.batches / 16 } else { cli.batches };
             let began = Instant::now();
-            (0..batches / n).for_each(|round| open.put(round * n..(round + 1) * n));
+            (0..batches / n).for_each(|round| put(&mut open, round * n..(round + 1) * n));
             rates[at].push(batches as f64 / began.elapsed().as_secs_f64());
             drop(open);
             let _ = std::fs::remove_dir_all(&dir);
@@ -127,8 +89,8 @@
     println!("| entries | opening, ms, median of {} | bytes an entry on disk | in memory |", cli.turns);
     for entries in [10_000_u64, 100_000, 1_000_000] {
         let dir = folder(&cli.dir, &format!("open-{entries}"));
-        let mut store = Open::new(&dir);
-        (0..entries / 1000).for_each(|round| store.put(round * 1000..(round + 1) * 1000));
+        let mut store = Open::new(&dir, rules(), NOW);
+        (0..entries / 1000).for_each(|round| put(&mut store, round * 1000..(round + 1) * 1000));
         let (disk, memory) = store.store.bytes();
         drop(store);
         let mut took = Vec::new();
@@ -138,7 +100,7 @@
                 std::thread::yield_now();
             }
             let began = Instant::now();
-            let open = Open::new(&dir);
+            let open = Open::new(&dir, rules(), NOW);
             took.push(began.elapsed().as_secs_f64() * 1000.0);
             assert!(open.store.get(NOW, "ledger", &(entries - 1).to_be_bytes()).is_some());
         }
--- a/crates/pinepoint-store/src/log.rs
+++ b/crates/pinepoint-store/src/log.rs
@@ -15,7 +15,7 @@
 pub const VERSION: u16 = 1;
 const MAGIC: [u8; 6] = *b"ppkept";
 /// Bytes of the head of a segment.
-pub const HEAD: usize = 48;
+pub const HEAD: usize = 40;
 /// Bytes of a record beside its payload.
 pub const FRAME: usize = 28;
 /// Longest payload of a record.
@@ -43,8 +43,6 @@
     pub before_bytes: u64,
     /// The chain up to there.
     pub chain: u64,
-    /// When the last entry of the segment before it is over, Unix ms.
-    pub before_end_ms: f64,
 }
 
 /// Why a file is no segment of this program.
@@ -65,7 +63,6 @@
         bytes.extend_from_slice(&self.number.to_le_bytes());
         bytes.extend_from_slice(&self.before_bytes.to_le_bytes());
         bytes.extend_from_slice(&self.chain.to_le_bytes());
-        bytes.extend_from_slice(&self.before_end_ms.to_bits().to_le_bytes());
         bytes.extend_from_slice(&xxh3_64(&bytes).to_le_bytes());
         bytes
     }
@@ -81,12 +78,7 @@
         if version != VERSION {
             return Err(HeadError::Version(version));
         }
-        let head = Head {
-            number: word(bytes, 8),
-            before_bytes: word(bytes, 16),
-            chain: word(bytes, 24),
-            before_end_ms: f64::from_bits(word(bytes, 32)),
-        };
+        let head = Head { number: word(bytes, 8), before_bytes: word(bytes, 16), chain: word(bytes, 24) };
         if head.number == number { Ok(head) } else { Err(HeadError::Unsound) }
     }
 }
--- a/crates/pinepoint-store/src/store.rs
+++ b/crates/pinepoint-store/src/store.rs
@@ -133,7 +133,6 @@
 #[derive(Clone, Debug, Default)]
 struct Segment {
     bytes: u64,
-    end_ms: f64,
     live: BTreeSet<Key>,
     live_bytes: u64,
 }
@@ -341,9 +340,6 @@
         let key = (change.table.clone(), change.key.clone());
         // Ends order by their bits, which those of positive numbers do.
         let end_ms = change.end_ms.max(0.0);
-        if let Some(segment) = self.segments.get_mut(&number) {
-            segment.end_ms = segment.end_ms.max(end_ms);
-        }
         let entry = change.value.clone().map(|value| Entry { value, end_ms, segment: number });
         let old = self.put(key.clone(), entry);
         (key, old)
@@ -494,8 +490,7 @@
                 match then {
                     Then::Nothing => {}
                     Then::Roll => {
-                        let end_ms = self.segments.get(&self.current).map_or(0.0, |s| s.end_ms);
-                        self.create(self.current + 1, end_ms, out);
+                        self.create(self.current + 1, out);
                     }
                     Then::Drop => {
                         let oldest = self.segments.first_key_value().map(|(number, _)| *number);
@@ -528,8 +523,8 @@
         out.push(Action::Shut(reason));
     }
 
-    fn create(&mut self, number: u64, before_end_ms: f64, out: &mut Vec<Action>) {
-        let head = Head { number, before_bytes: self.bytes, chain: self.chain, before_end_ms };
+    fn create(&mut self, number: u64, out: &mut Vec<Action>) {
+        let head = Head { number, before_bytes: self.bytes, chain: self.chain };
         self.ask(Request::Create(number, head.encode()), Asked::Create(head), out);
     }
 
@@ -560,8 +555,7 @@
         }
         // Nothing is written behind what a crash may have left.
         let number = self.segments.last_key_value().map_or(highest + 1, |(number, _)| number + 1);
-        let end_ms = self.segments.last_key_value().map_or(0.0, |(_, segment)| segment.end_ms);
-        self.create(number, end_ms, out);
+        self.create(number, out);
     }
 
     fn opened_one(&mut self, number: u64, bytes: Vec<u8>, out: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/pinepoint-store/tests/drive/mod.rs
@@ -0,0 +1,58 @@
+//! A store over a real directory, driven one request at a time: for tests and for the measure alike.
+
+use std::path::Path;
+
+use pinepoint_store::files::{Files, OpenError};
+use pinepoint_store::log::Change;
+use pinepoint_store::store::{Action, Durability, Event, Rules, Store};
+
+pub struct Open {
+    pub store: Store,
+    /// What it did beside asking the disk.
+    pub told: Vec<Action>,
+    files: Files,
+    now: f64,
+}
+
+impl Open {
+    /// Opens a directory as soon as whoever had it has let it go; the store is told this time throughout.
+    pub fn new(dir: &Path, rules: Rules, now: f64) -> Open {
+        let files = loop {
+            match Files::open(dir) {
+                Ok(files) => break files,
+                Err(OpenError::InUse(_)) => std::thread::yield_now(),
+                Err(error) => panic!("{error}"),
+            }
+        };
+        let mut out = Vec::new();
+        let store = Store::open(rules, 0.0, &mut out);
+        let mut open = Open { store, told: Vec::new(), files, now };
+        open.carry_out(out);
+        open
+    }
+
+    fn carry_out(&mut self, mut actions: Vec<Action>) {
+        while !actions.is_empty() {
+            let mut next = Vec::new();
+            for action in actions {
+                let Action::Disk(request) = action else {
+                    self.told.push(action);
+                    continue;
+                };
+                self.files.requests.send_blocking(request).expect("the thread runs");
+                let answer = self.files.answers.recv_blocking().expect("the thread answers");
+                self.store.handle(self.now, Event::Disk(answer), &mut next);
+            }
+            actions = next;
+        }
+    }
+
+    /// Writes these durably, each a batch of its own under its number, all of which wait at once.
+    pub fn put(&mut self, batches: impl Iterator<Item = (u64, Change)>) {
+        let mut out = Vec::new();
+        for (ticket, change) in batches {
+            self.store.handle(self.now, Event::Write(ticket, vec![change], Durability::Durable), &mut out);
+        }
+        self.carry_out(out);
+    }
+}
