End what is kept of a read with its freshness, and a result with its holder

Ruled out: a mix-up of two subjects or of two tries (key and holder were the request's own).

Cause: src/node/core.rs, run_ended forgot the request before the module's wish to keep its answer for freshForMs was carried out, and remember() dropped it for want of the request; the entry of its arrival stayed, for the whole time that its caller would have waited. The wish to forget a read that failed was lost in the same way. Beside it, in src/node/keys.rs: remember() kept the result of the holder before; keep(), forget() and left() replaced or removed results without taking off their bytes, so that in time no result would have been kept; a repeat whose first try was overtaken by another (window shorter than deadline) was never told the end of its own.

Change: key and digest of requests that ended in the instant in hand are kept to its end. Each result belongs to the try that made it, each waiter to the try that it waits for; an entry goes when nothing is known of the key and nobody waits.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -94,6 +94,8 @@
     idle_ms: Option<f64>,
     leave_ms: Option<f64>,
     instant_keys: Vec<Key>,
+    /// Requests with keys that ended in the instant in hand: number, key, digest.
+    ended: Vec<(u32, Key, u64)>,
     /// The instant in hand, ms.
     now_ms: f64,
 }
@@ -122,6 +124,7 @@
             idle_ms: None,
             leave_ms: None,
             instant_keys: Vec::new(),
+            ended: Vec::new(),
             now_ms: 0.0,
         }
     }
@@ -477,14 +480,14 @@
         }
     }
 
-    /// The try `id` of a key is over: its repeats are answered, and its result is kept for those to come.
+    /// The try `id` of a key is over: its repeats are answered, and its result is kept for those to come. Proved not to
+    /// have run, it leaves nothing: the next try is a first one.
     fn key_ended(&mut self, key: &Key, id: u32, outcome: Outcome, result: TryResult) {
-        let Some(waiters) = self.keys.waiters(key, id) else { return };
+        let (waiters, dropped) = self.keys.ended(key, id, result.clone(), outcome == Outcome::Moot);
         for waiter in waiters {
             self.answer_repeat(waiter, &result);
         }
-        // Proved not to have run, it leaves nothing: the next try is a first one.
-        if self.keys.keep(key, result, outcome == Outcome::Moot) {
+        if dropped {
             count(&self.parts.counters.results_dropped);
             self.turn(Turn::Reached(Limit::Results));
         }
@@ -667,6 +670,7 @@
             let actions = std::mem::take(&mut self.actions);
             actions.into_iter().for_each(|action| self.carry_out(now, action));
             if self.follow_up.is_empty() {
+                self.ended.clear();
                 return;
             }
         }
@@ -715,8 +719,8 @@
             }
             Action::Remember { id, for_ms } => self.remember(now, id, for_ms),
             Action::Forget { id } => {
-                if let Some(key) = self.requests.get(id).and_then(|open| open.key.as_ref()) {
-                    self.keys.forget(key, id);
+                if let Some((key, _)) = self.key_of(id) {
+                    self.keys.forget(&key, id);
                 }
             }
             Action::Reuse { id } => self.reuse(id),
@@ -759,10 +763,20 @@
         self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
     }
 
+    /// Key and digest of a request that is open, or ended in the instant in hand: what the module wants of a key when
+    /// its run ends, it says after the end. Dropped for want of the request, the wish to keep a read's answer for a
+    /// moment only left it in the table for the whole time that its caller would have waited.
+    fn key_of(&self, id: u32) -> Option<(Key, u64)> {
+        let open = self.requests.get(id).and_then(|open| Some((open.key.clone()?, open.digest)));
+        open.or_else(|| {
+            self.ended.iter().find(|(ended, ..)| *ended == id).map(|(_, key, digest)| (key.clone(), *digest))
+        })
+    }
+
     fn remember(&mut self, now: f64, id: u32, for_ms: f64) {
-        let Some(open) = self.requests.get(id) else { return };
-        let Some(key) = open.key.clone() else { return };
-        self.keys.remember(key, id, open.digest, now + for_ms);
+        if let Some((key, digest)) = self.key_of(id) {
+            self.keys.remember(key, id, digest, now + for_ms);
+        }
     }
 
     fn reuse(&mut self, id: u32) {
@@ -771,7 +785,7 @@
         let (key, first) = (open.key.clone(), open.repeats);
         self.note_of(id, |_| Kind::Decided(Decision::Reuse));
         let under_way = first.is_some_and(|first| self.requests.get(first).is_some());
-        if let Joined::Over(result) = self.keys.join(key.as_ref(), id, under_way) {
+        if let Joined::Over(result) = self.keys.join(key.as_ref(), id, first, under_way) {
             self.answer_repeat(id, &result);
         }
     }
@@ -816,8 +830,9 @@
 
     fn forget_request(&mut self, id: u32) {
         let Some(open) = self.requests.remove(id) else { return };
-        if let Some(key) = &open.key {
-            self.keys.left(key, id, open.phase == Phase::Held);
+        if let Some(key) = open.key {
+            self.keys.left(&key, id, open.phase == Phase::Held);
+            self.ended.push((id, key, open.digest));
         }
     }
 }
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -25,16 +25,49 @@
     Failed,
 }
 
-#[derive(Debug)]
-struct Kept {
-    holder: u32,
-    /// Digest of the holder's body: all tries of one request carry the same.
+/// A try that others of its key are held against.
+#[derive(Clone, Copy, Debug)]
+struct Try {
+    id: u32,
+    /// Digest of its body: all tries of one request carry the same.
     digest: u64,
+    /// Those that reached the machine before this time are its repeats.
     until: f64,
-    /// The try that was started, and the end of the window in which no other may be.
-    ran: Option<(u32, f64)>,
+}
+
+/// What is kept of one key.
+#[derive(Debug)]
+struct Entry {
+    /// The try that the decision module wants kept.
+    holder: Option<Try>,
+    /// The try that was started, in keyed classes; no other may be before its window ends.
+    ran: Option<Try>,
+    /// The try whose result is kept here, and that result.
+    of: u32,
     result: TryResult,
-    waiters: Vec<u32>,
+    /// Repeats that wait, each with the try whose result it waits for.
+    waiters: Vec<(u32, u32)>,
+}
+
+impl Entry {
+    fn new(of: u32) -> Self {
+        Entry { holder: None, ran: None, of, result: TryResult::Pending, waiters: Vec::new() }
+    }
+
+    /// The try that one which came at this time repeats.
+    fn known(&self, t0: f64) -> Option<Try> {
+        let covers = |known: &Try| t0 < known.until;
+        self.ran.filter(covers).or(self.holder.filter(covers))
+    }
+
+    /// Nothing is known of the key any more, and nobody waits.
+    fn is_empty(&self) -> bool {
+        self.holder.is_none() && self.ran.is_none() && self.waiters.is_empty()
+    }
+
+    fn bytes(&self) -> usize {
+        if let TryResult::Done(bytes) = &self.result { bytes.len() } else { 0 }
+    }
 }
 
 /// A try that is to be started.
@@ -67,7 +100,8 @@
 /// each.
 #[derive(Debug)]
 pub struct Keys {
-    entries: HashMap<Key, Kept>,
+    entries: HashMap<Key, Entry>,
+    /// Bytes of all results; what takes one out of an entry, or the entry out of the table, takes its bytes off.
     results: usize,
     results_most: f64,
     /// Seeded anew in each process, so that nobody can make two bodies alike.
@@ -92,168 +126,110 @@
 
     /// The try that a request with this key repeats, if it reached the machine while the entry lived.
     pub fn kept_try(&self, key: &Key, t0: f64) -> Option<u32> {
-        let kept = self.entries.get(key)?;
-        match kept.ran {
-            Some((ran, until)) if t0 < until => Some(ran),
-            _ if t0 < kept.until => Some(kept.holder),
-            _ => None,
-        }
+        Some(self.entries.get(key)?.known(t0)?.id)
     }
 
     /// Whether the key is known and stands for another request than one with this body.
     pub fn is_other(&self, key: &Key, t0: f64, digest: u64) -> bool {
-        self.kept_try(key, t0).is_some() && self.entries[key].digest != digest
+        self.entries.get(key).and_then(|entry| entry.known(t0)).is_some_and(|known| known.digest != digest)
     }
 
     /// Enters a try that is about to be started. Guards the rule on duplicates against every cause, a decision
     /// module that forgot included.
     pub fn start(&mut self, key: &Key, start: Start) -> Result<(), AlreadyRan> {
         let Start { id, digest, t0, until } = start;
-        let kept = self.entries.entry(key.clone()).or_insert_with(|| Kept {
-            holder: id,
-            digest,
-            until,
-            ran: None,
-            result: TryResult::Pending,
-            waiters: Vec::new(),
-        });
-        if kept.ran.is_some_and(|(_, until)| t0 < until) {
+        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(id));
+        if entry.ran.is_some_and(|ran| t0 < ran.until) {
             return Err(AlreadyRan);
         }
-        if let TryResult::Done(bytes) = std::mem::replace(&mut kept.result, TryResult::Pending) {
-            self.results -= bytes.len();
-        }
-        kept.ran = Some((id, until));
-        kept.digest = digest;
+        entry.ran = Some(Try { id, digest, until });
+        self.results -= entry.bytes();
+        (entry.of, entry.result) = (id, TryResult::Pending);
         Ok(())
     }
 
-    /// Keeps this try as the one that repeats of its key name, until that time.
+    /// Keeps this try as the one that repeats of its key name, until that time. A result of an earlier holder is not
+    /// its own: kept on, it would be told to repeats long after its time.
     pub fn remember(&mut self, key: Key, id: u32, digest: u64, until: f64) {
-        match self.entries.get_mut(&key) {
-            Some(kept) => {
-                kept.holder = id;
-                kept.until = until;
-                kept.digest = digest;
-            }
-            None => {
-                let (result, waiters) = (TryResult::Pending, Vec::new());
-                self.entries.insert(key, Kept { holder: id, digest, until, ran: None, result, waiters });
-            }
+        let entry = self.entries.entry(key).or_insert_with(|| Entry::new(id));
+        entry.holder = Some(Try { id, digest, until });
+        if entry.ran.is_none() && entry.of != id {
+            self.results -= entry.bytes();
+            (entry.of, entry.result) = (id, TryResult::Pending);
         }
     }
 
-    /// Forgets the entry that this try holds. One whose try ran outlives every wish: it is what keeps the effect
-    /// single.
+    /// Forgets that this try holds the entry. That one ran outlives every wish: it is what keeps the effect single.
     pub fn forget(&mut self, key: &Key, id: u32) {
-        if self.entries.get(key).is_some_and(|kept| kept.holder == id && kept.ran.is_none()) {
-            self.entries.remove(key);
-        }
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.holder = entry.holder.filter(|holder| holder.id != id);
+        self.drop_if_empty(key);
     }
 
     /// Lets a repeat wait for the try it names, if that is under way, or tells how it ended.
-    pub fn join(&mut self, key: Option<&Key>, id: u32, under_way: bool) -> Joined {
-        match key.and_then(|key| self.entries.get_mut(key)) {
-            Some(kept) if matches!(kept.result, TryResult::Pending) && under_way => {
-                kept.waiters.push(id);
-                Joined::Waits
-            }
-            Some(kept) => Joined::Over(kept.result.clone()),
-            None => Joined::Over(TryResult::Failed),
+    pub fn join(&mut self, key: Option<&Key>, id: u32, first: Option<u32>, under_way: bool) -> Joined {
+        let entry = key.and_then(|key| self.entries.get_mut(key));
+        let (Some(entry), Some(first)) = (entry, first) else { return Joined::Over(TryResult::Failed) };
+        if entry.of == first && entry.result != TryResult::Pending {
+            return Joined::Over(entry.result.clone());
         }
-    }
-
-    /// The repeats that wait for this try, which is over. Nothing is taken from an entry that another try has.
-    pub fn waiters(&mut self, key: &Key, id: u32) -> Option<Vec<u32>> {
-        let kept = self.entries.get_mut(key)?;
-        if kept.ran.is_some_and(|(ran, _)| ran != id) || (kept.ran.is_none() && kept.holder != id) {
-            return None;
+        if under_way {
+            entry.waiters.push((id, first));
+            return Joined::Waits;
         }
-        Some(std::mem::take(&mut kept.waiters))
+        Joined::Over(TryResult::Failed)
     }
 
-    /// Keeps the result of a try that is over; `never_ran` if that is proved: the next try is a first one then.
-    /// Tells whether the result was dropped for want of room: its entry stays, so that no repeat runs.
-    pub fn keep(&mut self, key: &Key, result: TryResult, never_ran: bool) -> bool {
-        let Some(kept) = self.entries.get_mut(key) else { return false };
+    /// A try of the key is over. Returns the repeats that wait for it, and whether its result was dropped for want of
+    /// room: the entry stays then, so that no repeat runs. `never_ran` if that is proved: the next try is a first one.
+    pub fn ended(&mut self, key: &Key, id: u32, result: TryResult, never_ran: bool) -> (Vec<u32>, bool) {
+        let Some(entry) = self.entries.get_mut(key) else { return (Vec::new(), false) };
+        let (waited, others) = entry.waiters.drain(..).partition(|(_, first)| *first == id);
+        entry.waiters = others;
+        let waited: Vec<(u32, u32)> = waited;
+        let mut dropped = false;
         if never_ran {
-            self.entries.remove(key);
-            return false;
-        }
-        kept.result = result;
-        let TryResult::Done(bytes) = &kept.result else { return false };
-        if (self.results + bytes.len()) as f64 > self.results_most {
-            kept.result = TryResult::Failed;
-            return true;
+            entry.ran = entry.ran.filter(|ran| ran.id != id);
+            entry.holder = entry.holder.filter(|holder| holder.id != id);
+        } else if entry.of == id {
+            let held = self.results - entry.bytes();
+            entry.result = result;
+            if (held + entry.bytes()) as f64 > self.results_most {
+                dropped = entry.bytes() > 0;
+                entry.result = TryResult::Failed;
+            }
+            self.results = held + entry.bytes();
         }
-        self.results += bytes.len();
-        false
+        self.drop_if_empty(key);
+        (waited.into_iter().map(|(waiter, _)| waiter).collect(), dropped)
     }
 
     /// A request with this key is over and no longer waits; `held` if it never left the hold: a try that ends so
     /// leaves nothing to repeat.
     pub fn left(&mut self, key: &Key, id: u32, held: bool) {
-        if let Some(kept) = self.entries.get_mut(key) {
-            kept.waiters.retain(|waiter| *waiter != id);
-            if kept.ran.is_none() && kept.holder == id && held {
-                self.entries.remove(key);
-            }
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.waiters.retain(|(waiter, _)| *waiter != id);
+        entry.holder = entry.holder.filter(|holder| !held || holder.id != id);
+        self.drop_if_empty(key);
+    }
+
+    fn drop_if_empty(&mut self, key: &Key) {
+        if self.entries.get(key).is_some_and(Entry::is_empty)
+            && let Some(entry) = self.entries.remove(key)
+        {
+            self.results -= entry.bytes();
         }
     }
 
     /// Drops what no try that comes in time can name any more.
     pub fn sweep(&mut self, now: f64) {
         let mut freed = 0;
-        self.entries.retain(|_, kept| {
-            let until = kept.ran.map_or(kept.until, |(_, until)| until.max(kept.until));
-            let live = until + AFTERLIFE_MS > now;
-            if let (false, TryResult::Done(bytes)) = (live, &kept.result) {
-                freed += bytes.len();
-            }
+        self.entries.retain(|_, entry| {
+            let lives = |known: Option<Try>| known.is_some_and(|known| known.until + AFTERLIFE_MS > now);
+            let live = lives(entry.ran) || lives(entry.holder) || !entry.waiters.is_empty();
+            freed += if live { 0 } else { entry.bytes() };
             live
         });
         self.results -= freed;
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn key() -> Key {
-        (0, "k".into())
-    }
-
-    fn start(id: u32, t0: f64) -> Start {
-        Start { id, digest: 7, t0, until: t0 + 100.0 }
-    }
-
-    #[test]
-    fn a_key_that_ran_is_not_started_again_in_its_window_whatever_is_forgotten() {
-        let mut keys = Keys::new(1000.0);
-        keys.remember(key(), 1, 7, 100.0);
-        assert_eq!(keys.start(&key(), start(1, 0.0)), Ok(()));
-        keys.forget(&key(), 1);
-        keys.left(&key(), 1, false);
-        assert_eq!(keys.start(&key(), start(2, 99.0)), Err(AlreadyRan));
-        assert_eq!(
-            keys.start(&key(), start(2, 100.0)),
-            Ok(()),
-            "the window counts from t0 of the try that ran"
-        );
-    }
-
-    #[test]
-    fn results_are_bounded_and_their_entries_stay() {
-        let mut keys = Keys::new(10.0);
-        for (n, dropped) in [(1, false), (2, true)] {
-            let key = (0, n.to_string());
-            assert_eq!(keys.start(&key, start(n, 0.0)), Ok(()));
-            assert_eq!(keys.keep(&key, TryResult::Done(vec![0; 6].as_slice().into()), false), dropped);
-            assert_eq!(keys.start(&key, start(9, 50.0)), Err(AlreadyRan));
-        }
-        assert_eq!(keys.size(), (2, 6));
-        keys.sweep(100.0 + AFTERLIFE_MS);
-        assert_eq!(keys.size(), (0, 0));
-    }
-}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -538,6 +538,34 @@
     );
 }
 
+/// Where reads may share an answer: while it runs and for a moment after, and no longer; a failure is not shared.
+#[test]
+fn the_answer_to_a_read_serves_others_only_while_it_is_fresh() {
+    let settings = vec![("\"keyKb\":5", "\"keyKb\":5,\"freshForMs\":150")];
+    let store = scenario::service(Box::new(|_| Vec::new()));
+    let options = Options { settings, ..Options::default() };
+    let mut world = World::start_with(Box::new(idle_gauges), store, options);
+    world.run(UP);
+    world.run(
+        "rpc send 1 look rid=a1 obj=s|paper
+         engine expect RUN 00000000000000a1 look|paper
+         rpc send 2 look rid=a2 obj=s|paper
+         rpc send 3 ping
+         rpc expect [1 3 nil *
+         engine send DONE 1 00000000000000a1 complete 12|one
+         rpc wait [1 1 nil [one *
+         # It came when that answer was no longer fresh.
+         rpc2 send 1 look rid=a3 obj=s t0=900|paper
+         engine expect RUN 00000000000000a3 look|paper
+         engine send DONE 2 00000000000000a3 error 12|
+         rpc2 expect [1 1 [Failed *] nil]
+         rpc2 send 2 look rid=a4 obj=s t0=900|paper
+         engine expect RUN 00000000000000a4 look|paper
+         engine send DONE 3 00000000000000a4 complete 12|two
+         rpc2 expect [1 2 nil [two *",
+    );
+}
+
 /// Both fronts past what the engine does, with AJP connections that break halfway through the body of a
 /// write while the same key comes by MessagePack-RPC, and comes again by both.
 #[test]
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -374,6 +374,8 @@
     pub bare: bool,
     /// What it is started under: a program and its words.
     pub under: Vec<String>,
+    /// Text of the settings that is replaced by other text.
+    pub settings: Vec<(&'static str, &'static str)>,
 }
 
 impl Default for Options {
@@ -385,6 +387,7 @@
             name: "n1".into(),
             bare: false,
             under: Vec::new(),
+            settings: Vec::new(),
         }
     }
 }
@@ -432,8 +435,12 @@
 
     /// The same with a store that is made elsewhere, and these options.
     pub fn start_with(engine: Answer, store: (Actor, SocketAddr), options: Options) -> World {
-        let Options { idle_ms, memory_mb, name, edge: more, bare, under } = options;
-        let settings = SETTINGS.replace("IDLE", &idle_ms.to_string());
+        let Options { idle_ms, memory_mb, name, edge: more, bare, under, settings: replaced } = options;
+        let settings =
+            replaced.iter().fold(SETTINGS.replace("IDLE", &idle_ms.to_string()), |text, (old, new)| {
+                assert!(text.contains(old), "no {old} in the settings");
+                text.replace(old, new)
+            });
         let mut actors = HashMap::new();
         let mut add = |name: &str, (actor, address): (Actor, SocketAddr)| {
             actors.insert(name.to_owned(), actor);
