Tell the calls of one request apart by a number, not by the request's name

Read, not seen: a call's end reached the core under the name of its request. Where the engine asks for a further call, which gives the first one up, while the end of the first stands in line behind it and a settlement falls between (two tries of one key in one instant force one), the end of the first was taken for that of the second: its reply was fed to a run that waits for another, and the second call's own end then passed over. A request that came again under a name in use a moment ago could be met in the same way.

Checked: src/node/links.rs removes its own task after sending, without a wait between the two, so no successor is taken along there; the mix-up is the core's alone (call_ended by name).

Change: the core numbers its calls; the table of requests knows which number is whose until it is over or given up. Test: facts::the_end_of_a_call_is_not_taken_for_that_of_its_successor (without sockets: the order of the inputs is the crossing). With the look-up by request put back it fails: the reply 9 of the first call is fed.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -240,15 +240,18 @@
                 let Some(id) = self.requests.by_rid(&rid) else { return };
                 let Some(open) = self.requests.get_mut(id) else { return };
                 // A further call for the same request gives up the first.
-                let given_up = (open.phase == Phase::Calling).then(|| call_dropped(now, open));
-                if given_up.is_some() {
-                    self.parts.store.drop_call(&open.rid);
+                let given_up = (open.phase == Phase::Calling).then(|| (open.call, call_dropped(now, open)));
+                if let Some((call, _)) = given_up {
+                    self.parts.store.drop_call(call);
                 }
                 open.phase = Phase::AtCall;
                 open.need = (notice, body);
                 open.feed = None;
                 let (over, class) = (open.caller.is_none(), open.class);
-                given_up.into_iter().for_each(|kind| self.note(id, class, kind));
+                if let Some((call, kind)) = given_up {
+                    self.requests.call_over(call);
+                    self.note(id, class, kind);
+                }
                 self.tell(now, Event::NeedsCall { id });
                 if over {
                     self.end_at_call(id);
@@ -262,7 +265,7 @@
                     self.run_ended(now, id, RunEnd::Unknown);
                 }
             }
-            Input::CallEnded(rid, outcome, reply) => self.call_ended(now, &rid, outcome, reply),
+            Input::CallEnded(call, outcome, reply) => self.call_ended(now, call, outcome, reply),
             Input::Leave => self.leave(now),
             Input::Look => self.parts.observer.state(now, &self.state()),
         }
@@ -332,6 +335,7 @@
             need: (0, Vec::new()),
             feed: None,
             fed: None,
+            call: 0,
             called_ms: 0.0,
             commanded: 0,
             halted: false,
@@ -455,7 +459,7 @@
         }
         let (calling, ran_ms) = (open.phase == Phase::Calling, now - open.began_ms);
         if calling {
-            self.parts.store.drop_call(&open.rid);
+            self.parts.store.drop_call(open.call);
         }
         count(&self.parts.counters.runs_ended);
         let (outcome, end, result) = match end {
@@ -513,8 +517,9 @@
         self.follow_up.push_back(Event::Finished { id, outcome });
     }
 
-    fn call_ended(&mut self, now: f64, rid: &str, outcome: Outcome, reply: Option<Vec<u8>>) {
-        let Some(id) = self.requests.by_rid(rid) else { return };
+    fn call_ended(&mut self, now: f64, call: u64, outcome: Outcome, reply: Option<Vec<u8>>) {
+        // One that was given up has been forgotten: its end is no end of a later call.
+        let Some(id) = self.requests.call_over(call) else { return };
         let Some(open) = self.requests.in_phase(id, Phase::Calling) else { return };
         let took_ms = now - open.called_ms;
         let end = match outcome {
@@ -700,12 +705,13 @@
                 }
             }
             Action::Call { id, patience_ms } => {
-                if let Some(open) = self.requests.in_phase(id, Phase::AtCall) {
+                if self.requests.in_phase(id, Phase::AtCall).is_some()
+                    && let Some(call) = self.requests.called(id, now)
+                    && let Some(open) = self.requests.get(id)
+                {
                     count(&self.parts.counters.calls);
-                    open.phase = Phase::Calling;
-                    open.called_ms = now;
                     let once = self.parts.site.settings.classes[open.class].effect != Effect::Read;
-                    self.parts.store.clone().call(&open.rid, patience_ms, &open.need.1, once);
+                    self.parts.store.clone().call(call, &open.rid, patience_ms, &open.need.1, once);
                     self.note_of(id, |_| Kind::CallMade);
                 }
             }
@@ -813,9 +819,9 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         let mut dropped = None;
         if open.phase == Phase::Calling {
-            self.parts.store.drop_call(&open.rid);
+            self.parts.store.drop_call(open.call);
             open.phase = Phase::AtCall;
-            dropped = Some((open.class, call_dropped(self.now_ms, open)));
+            dropped = Some((open.call, open.class, call_dropped(self.now_ms, open)));
         }
         let may_halt = self.parts.site.settings.halting != Halting::Never;
         if open.phase == Phase::AtCall && !open.halted && may_halt {
@@ -823,7 +829,8 @@
             open.commanded = self.asks;
             self.parts.engine.halt(&open.rid);
         }
-        if let Some((class, kind)) = dropped {
+        if let Some((call, class, kind)) = dropped {
+            self.requests.call_over(call);
             self.note(id, class, kind);
         }
     }
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -371,7 +371,7 @@
     counters: Rc<Counters>,
     executor: Rc<LocalExecutor<'static>>,
     /// The calls under way; one that is taken out is cancelled.
-    calls: RefCell<HashMap<String, Task<()>>>,
+    calls: RefCell<HashMap<u64, Task<()>>>,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -503,27 +503,27 @@
 impl port::Store for StoreLink {
     /// One that must not be made twice gets a connection of its own: the reset of a used one, forgotten by the
     /// store, would leave it uncertain though it never ran.
-    fn call(self: Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool) {
+    fn call(self: Rc<Self>, call: u64, rid: &str, patience_ms: f64, body: &[u8], once: bool) {
         let patience_ms = patience_ms.max(1.0);
         let mut bytes = Vec::new();
         with_body(&mut bytes, &format!("CALL {rid} {patience_ms:.0}"), body);
-        let (link, name) = (self.clone(), rid.to_owned());
-        let call = async move {
-            let (outcome, reply) = match link.converse(&name, &bytes, patience_ms, once).await {
+        let (link, rid) = (self.clone(), rid.to_owned());
+        let conversation = async move {
+            let (outcome, reply) = match link.converse(&rid, &bytes, patience_ms, once).await {
                 Ok((outcome, reply)) => (outcome, reply),
                 Err(outcome) => (outcome, None),
             };
-            let _ = link.queue.send(Input::CallEnded(name.clone(), outcome, reply)).await;
-            link.calls.borrow_mut().remove(&name);
+            let _ = link.queue.send(Input::CallEnded(call, outcome, reply)).await;
+            link.calls.borrow_mut().remove(&call);
         };
-        let task = self.executor.spawn(call);
-        self.calls.borrow_mut().insert(rid.to_owned(), task);
+        let task = self.executor.spawn(conversation);
+        self.calls.borrow_mut().insert(call, task);
     }
 
     /// By closing its connection.
-    fn drop_call(&self, rid: &str) {
-        let call = self.calls.borrow_mut().remove(rid);
-        drop(call);
+    fn drop_call(&self, call: u64) {
+        let task = self.calls.borrow_mut().remove(&call);
+        drop(task);
     }
 }
 
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -33,12 +33,13 @@
     fn stat(&self, tag: u64);
 }
 
-/// The store, as the core calls it: each call ends with one [`Input::CallEnded`] unless it is dropped.
+/// The store, as the core calls it: each call ends with one [`Input::CallEnded`] unless it is dropped. Calls are told
+/// apart by numbers of the core's own: the name of the request may stand for a later call of it, or for another request.
 pub trait Store {
     /// Makes a call for this request; `once` if it must not be made twice.
-    fn call(self: Rc<Self>, rid: &str, patience_ms: f64, body: &[u8], once: bool);
+    fn call(self: Rc<Self>, call: u64, rid: &str, patience_ms: f64, body: &[u8], once: bool);
     /// Gives a call up; nothing is told of its end.
-    fn drop_call(&self, rid: &str);
+    fn drop_call(&self, call: u64);
 }
 
 /// A final answer.
@@ -134,8 +135,8 @@
     Stats(u64, Vec<f64>),
     /// The engine did not carry out a command for this request.
     Declined(String, String),
-    /// A call is over, with the reply if it went well.
-    CallEnded(String, Outcome, Option<Vec<u8>>),
+    /// The call of this number is over, with the reply if it went well.
+    CallEnded(u64, Outcome, Option<Vec<u8>>),
     /// The notice to leave.
     Leave,
     /// A question for the state, which the observer is told.
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -71,7 +71,9 @@
     pub feed: Option<Feed>,
     /// How many times gauges had been asked for when that was written; nothing there if it was not.
     pub fed: Option<u64>,
-    /// When its call was made, ms.
+    /// The number of its last call.
+    pub call: u64,
+    /// When that was made, ms.
     pub called_ms: f64,
     /// How many times gauges had been asked for when the last command about it was written.
     pub commanded: u64,
@@ -85,7 +87,9 @@
     open: BTreeMap<u32, Open>,
     by_rid: HashMap<String, u32>,
     by_ticket: BTreeMap<(u64, u64), u32>,
+    by_call: HashMap<u64, u32>,
     last: u32,
+    calls: u64,
 }
 
 impl Requests {
@@ -123,6 +127,20 @@
         self.by_ticket.get(&(caller, ticket)).copied()
     }
 
+    /// Notes that a call is made for a request, under a number never used before.
+    pub fn called(&mut self, id: u32, now: f64) -> Option<u64> {
+        let open = self.open.get_mut(&id)?;
+        self.calls += 1;
+        (open.call, open.called_ms, open.phase) = (self.calls, now, Phase::Calling);
+        self.by_call.insert(self.calls, id);
+        Some(self.calls)
+    }
+
+    /// The request whose call of this number is over or given up; nothing if that is known already.
+    pub fn call_over(&mut self, call: u64) -> Option<u32> {
+        self.by_call.remove(&call)
+    }
+
     /// The requests for which an answer is owed to this caller.
     pub fn owed_to(&self, caller: u64) -> Vec<u32> {
         self.by_ticket.range((caller, 0)..=(caller, u64::MAX)).map(|(_, id)| *id).collect()
@@ -165,6 +183,7 @@
     pub fn remove(&mut self, id: u32) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.by_rid.remove(&open.rid);
+        self.by_call.remove(&open.call);
         self.by_ticket.remove(&(open.caller_id, open.ticket));
         Some(open)
     }
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -18,7 +18,8 @@
 #[derive(Default)]
 pub struct Seen {
     pub runs: RefCell<Vec<String>>,
-    pub calls: RefCell<Vec<String>>,
+    pub calls: RefCell<Vec<u64>>,
+    pub feeds: RefCell<Vec<Vec<u8>>>,
     pub asked: Cell<u64>,
     pub answers: RefCell<BTreeMap<(u64, u64), Vec<Reply>>>,
     pub facts: RefCell<Vec<Fact>>,
@@ -31,7 +32,8 @@
         self.runs.borrow_mut().push(rid.to_owned());
     }
     fn halt(&self, _: &str) {}
-    fn feed(&self, _: &str, _: &[u8]) -> bool {
+    fn feed(&self, _: &str, reply: &[u8]) -> bool {
+        self.feeds.borrow_mut().push(reply.to_vec());
         true
     }
     fn skip(&self, _: &str, _: u64) -> bool {
@@ -43,13 +45,11 @@
 }
 
 impl Store for Seen {
-    /// A second call for the same request gives up the first.
-    fn call(self: Rc<Self>, rid: &str, _: f64, _: &[u8], _: bool) {
-        self.drop_call(rid);
-        self.calls.borrow_mut().push(rid.to_owned());
+    fn call(self: Rc<Self>, call: u64, _: &str, _: f64, _: &[u8], _: bool) {
+        self.calls.borrow_mut().push(call);
     }
-    fn drop_call(&self, rid: &str) {
-        self.calls.borrow_mut().retain(|call| call != rid);
+    fn drop_call(&self, call: u64) {
+        self.calls.borrow_mut().retain(|c| *c != call);
     }
 }
 
@@ -78,6 +78,12 @@
     fn leave_if_idle(&self, _: f64) {}
 }
 
+/// One of a list, if there is one.
+fn picked<T: Clone>(list: &RefCell<Vec<T>>, n: u8) -> Option<T> {
+    let list = list.borrow();
+    list.get(usize::from(n).checked_rem(list.len())?).cloned()
+}
+
 /// An end of a run: of four, two are results.
 pub fn run_end(how: u8) -> RunEnd {
     match how % 4 {
@@ -180,35 +186,31 @@
     }
 
     pub fn run(&mut self, step: &Step) {
-        let pick = |list: &RefCell<Vec<String>>, n: u8| {
-            let list = list.borrow();
-            (!list.is_empty()).then(|| list[usize::from(n) % list.len()].clone())
-        };
         match *step {
             Step::Up => self.tell(Input::EngineUp { cold: false, ms: 9000.0 }),
             Step::Down => self.tell(Input::EngineDown),
             Step::Arrive { class, key, body, age } => self.arrive(class, key, body, f64::from(age)),
             Step::Pass { ms, busy } => self.pass(f64::from(ms), f64::from(busy) / 100.0),
             Step::End { run, how } => {
-                if let Some(rid) = pick(&self.seen.runs, run) {
+                if let Some(rid) = picked(&self.seen.runs, run) {
                     self.tell(Input::Done(rid, run_end(how)));
                 }
             }
             Step::Need { run } => {
                 self.notices += 1;
-                if let Some(rid) = pick(&self.seen.runs, run) {
+                if let Some(rid) = picked(&self.seen.runs, run) {
                     self.tell(Input::Need(rid, self.notices, vec![1]));
                 }
             }
             Step::CallOver { call, how } => {
-                if let Some(rid) = pick(&self.seen.calls, call) {
-                    self.seen.calls.borrow_mut().retain(|c| *c != rid);
+                if let Some(call) = picked(&self.seen.calls, call) {
+                    self.seen.calls.borrow_mut().retain(|c| *c != call);
                     let (outcome, reply) = match how % 4 {
                         0 | 1 => (Outcome::Done, Some(vec![how])),
                         2 => (Outcome::Declined, None),
                         _ => (Outcome::Reset, None),
                     };
-                    self.tell(Input::CallEnded(rid, outcome, reply));
+                    self.tell(Input::CallEnded(call, outcome, reply));
                 }
             }
             Step::Gone { ticket } => {
--- a/tests/facts.rs
+++ b/tests/facts.rs
@@ -4,6 +4,7 @@
 mod bench;
 
 use bench::{Bench, Step};
+use pinepoint::Outcome;
 use pinepoint::node::port::{Input, Reply};
 use pinepoint_facts::{Answer, Kind, Turn};
 use proptest::prelude::*;
@@ -73,3 +74,30 @@
     assert!(facts.iter().all(|fact| fact.id == 1));
     assert_eq!(*bench.seen.turns.borrow(), [Turn::Up { cold: false }]);
 }
+
+/// The engine tells of a further call while the end of the one before stands in line behind it, and a pair of tries that
+/// must be settled one after the other stands between: the second call is made before the end of the first is heard.
+#[test]
+fn the_end_of_a_call_is_not_taken_for_that_of_its_successor() {
+    let mut bench = Bench::new();
+    bench.run(&Step::Up);
+    bench.arrive(0, 1, 1, 0.0);
+    let rid = bench.seen.runs.borrow()[0].clone();
+    bench.tell(Input::Need(rid.clone(), 1, vec![1]));
+    let first = bench.seen.calls.borrow()[0];
+    let now = bench.now;
+    bench.core.take(now, Input::Need(rid, 2, vec![2]));
+    // What `Core::run` does between two tries of one key in one instant.
+    bench.core.settle(now);
+    let second = bench.seen.calls.borrow()[0];
+    assert_ne!(first, second);
+    bench.core.take(now, Input::CallEnded(first, Outcome::Done, Some(vec![9])));
+    bench.core.settle(now);
+    assert_eq!(
+        *bench.seen.feeds.borrow(),
+        Vec::<Vec<u8>>::new(),
+        "the reply to the first is no reply to the second"
+    );
+    bench.tell(Input::CallEnded(second, Outcome::Done, Some(vec![7])));
+    assert_eq!(*bench.seen.feeds.borrow(), [vec![7]]);
+}
--- a/tests/long_life.rs
+++ b/tests/long_life.rs
@@ -47,7 +47,7 @@
 }
 
 /// Takes one out of a list of the stand-ins, if there is one.
-fn taken_out(list: &RefCell<Vec<String>>, pick: usize) -> Option<String> {
+fn taken_out<T>(list: &RefCell<Vec<T>>, pick: usize) -> Option<T> {
     let mut list = list.borrow_mut();
     let at = pick.checked_rem(list.len())?;
     Some(list.remove(at))
@@ -91,13 +91,13 @@
 
     /// The store ends one of its calls: most go well.
     fn end_call(&mut self, pick: usize, how: u8) {
-        let Some(rid) = taken_out(&self.bench.seen.calls, pick) else { return };
+        let Some(call) = taken_out(&self.bench.seen.calls, pick) else { return };
         let (outcome, reply) = match how % 16 {
             0 => (Outcome::Declined, None),
             1 => (Outcome::Reset, None),
             _ => (Outcome::Done, Some(vec![how])),
         };
-        self.bench.tell(Input::CallEnded(rid, outcome, reply));
+        self.bench.tell(Input::CallEnded(call, outcome, reply));
     }
 
     /// A step of the machine: its two cores end one run of 100 ms, after a call or without; calls end.
@@ -147,6 +147,7 @@
         let facts = std::mem::take(&mut *self.bench.seen.facts.borrow_mut());
         facts.iter().for_each(|fact| self.accounts.note(fact));
         self.bench.seen.answers.borrow_mut().clear();
+        self.bench.seen.feeds.borrow_mut().clear();
         self.bench.seen.turns.borrow_mut().clear();
         let state = self.bench.core.state();
         let open = state.open.iter().sum::<u64>() as usize;
