--- a/crates/pinepoint-clock/src/lib.rs
+++ b/crates/pinepoint-clock/src/lib.rs
@@ -78,7 +78,7 @@
     use std::time::{Duration, Instant};
 
     /// Between two looks at the file.
-    const EVERY: Duration = Duration::from_millis(20);
+    const EVERY: Duration = Duration::from_millis(1);
 
     thread_local! {
         static FILE: Option<PathBuf> = std::env::var_os("PINEPOINT_TEST_CLOCK").map(PathBuf::from);
--- a/crates/pinepoint-facts/src/lib.rs
+++ b/crates/pinepoint-facts/src/lib.rs
@@ -121,6 +121,10 @@
         BadTime = "bad-time",
         /// Another try of its key had run, and the core did not start it.
         AlreadyRan = "already-ran",
+        /// What came behind it on its connection is no message.
+        SpoiltConnection = "spoilt-connection",
+        /// The name of the try is in use, and the effect of another may be under way.
+        NameInUse = "name-in-use",
     }
 }
 
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -21,8 +21,7 @@
 
 use pinepoint::node::core::{Core, Parts};
 use pinepoint::node::counters::Counters;
-use pinepoint::node::listen::{self, Front, Room};
-use pinepoint::node::port::Input;
+use pinepoint::node::listen::{self, Door, Front, Room};
 use pinepoint::node::status::Status;
 use pinepoint::node::{ajp, fleet, links, rpc, telemetry};
 use pinepoint_clock::Clock;
@@ -278,6 +277,7 @@
             (watch as Rc<dyn Observer>, Some(member))
         }
     };
+    let room = Rc::new(Room::new(connections, config.memory_mb));
     let core = Core::new(Parts {
         site: site.clone(),
         seed,
@@ -289,6 +289,7 @@
         observer: observer.clone(),
         engine: engine.clone(),
         store,
+        doors: room.clone(),
     });
     let front = Rc::new(Front {
         site,
@@ -297,7 +298,7 @@
         observer,
         clock: clock.clone(),
         queue: queue.clone(),
-        room: Room::new(connections, config.memory_mb),
+        room: room.clone(),
     });
     if let Some(config::Ajp { listen, secret, mem_kb }) = edge.ajp {
         let (listener, address) = bind("ajp", listen)?;
@@ -307,12 +308,19 @@
         let serve = move |stream, guest| ajp::serve(stream, guest, own.clone(), options.clone());
         let most = connections / AJP_PART;
         executor
-            .spawn(listen::listen("ajp", listener, most, front.clone(), executor.clone(), serve))
+            .spawn(listen::listen(
+                "ajp",
+                Door::new(listener, &room),
+                most,
+                front.clone(),
+                executor.clone(),
+                serve,
+            ))
             .detach();
     }
     let on_signal = {
-        let (queue, counters, peers, status) =
-            (queue.clone(), counters.clone(), peers.clone(), status.clone());
+        let (clock, counters, peers, status) =
+            (clock.clone(), counters.clone(), peers.clone(), status.clone());
         let telemetry = telemetry.clone();
         async move {
             while let Some(signal) = signals.next().await {
@@ -323,7 +331,10 @@
                         status.report.wake();
                     }
                     _ => {
-                        let _ = queue.send(Input::Leave).await;
+                        // The grace and the kill count from now, whatever the core has in hand.
+                        let first = status.notice_ms.take();
+                        status.notice_ms.set(first.or(Some(clock.now())));
+                        status.notice.wake();
                     }
                 }
             }
@@ -335,7 +346,8 @@
     executor.spawn(or_off("members", members)).detach();
     let own = front.clone();
     let serve = move |stream, guest| rpc::serve(stream, guest, own.clone());
-    executor.spawn(listen::listen("rpc", listener, connections, front, executor.clone(), serve)).detach();
+    let door = Door::new(listener, &room);
+    executor.spawn(listen::listen("rpc", door, connections, front, executor.clone(), serve)).detach();
     tracing::info!(name, listen = %address, "started");
     let last_ms = edge.telemetry.last_ms.get() as f64;
     async_io::block_on(executor.run(async {
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, future};
+use futures_lite::future;
 
+use super::connection::{self, Guest, Intake, MESSAGE_MS, Stop, Writer};
 use super::counters::count;
-use super::listen::{Front, Guest, MESSAGE_MS, Writer};
+use super::listen::Front;
 use super::port::{Arrival, Caller, Input, Reply};
 use super::rpc::{BODY_MOST, EST_MOST, MEM_BELOW_KB};
 use super::sync::Signal;
@@ -373,11 +374,6 @@
 }
 
 impl Connection {
-    /// No request waits for its answer or for the rest of its body.
-    fn is_idle(&self) -> bool {
-        self.open.get().is_none() && self.guest.read.get() == self.guest.answered.get()
-    }
-
     fn respond(&self, status: u16, mut headers: Vec<(&str, String)>, body: &[u8], reuse: bool) {
         headers.extend(self.front.status.hint.get().map(|value| ("hint", format!("{value:.4}"))));
         self.guest.used_ms.set(self.front.clock.now());
@@ -396,7 +392,7 @@
         }
         self.open.set(None);
         self.guest.answered.set(self.guest.answered.get() + 1);
-        let reuse = !self.guest.told.get();
+        let reuse = !self.guest.told();
         match reply {
             Reply::Served(result) => {
                 let kind = vec![("Content-Type", "application/octet-stream".to_owned())];
@@ -414,16 +410,13 @@
     }
 
     fn leave(&self) {
-        self.guest.told.set(true);
         // An idle connection goes now; the front end opens another elsewhere. A request whose body is on its
         // way was not read and holds up nothing, but is given the time to become one.
-        if self.is_idle() {
-            self.writer.end("drained");
-        }
+        self.guest.tell_at_once(self.front.clock.now());
     }
 
     fn leave_if_idle(&self, since_ms: f64) {
-        if self.guest.used_ms.get() < since_ms && self.is_idle() {
+        if self.guest.used_ms.get() < since_ms && !self.guest.busy.get() {
             self.leave();
         }
     }
@@ -444,74 +437,40 @@
         answered: Signal::default(),
     });
     let _ = front.queue.send(Input::Opened(connection.clone())).await;
-    let mut input = Input13 { stream: &stream, bytes: Vec::new() };
-    let reading = async {
-        match converse(&mut input, &connection, &options).await {
-            // Said in a response, which is written first.
-            End::After(reason) => connection.writer.end(reason),
-            End::Now(reason) => return reason,
-        }
-        future::pending().await
-    };
-    let writing = connection.writer.run(&stream, || connection.open.get().is_none());
-    future::or(reading, writing).await
-}
-
-enum End {
-    Now(&'static str),
-    After(&'static str),
+    let mut input = Input13 { intake: Intake::new(stream.clone(), connection.guest.clone(), front.clone()) };
+    let reading = converse(&mut input, &connection, &options);
+    let nothing_open = || connection.open.get().is_none();
+    connection::run(&stream, &connection.guest, &front, &connection.writer, reading, nothing_open).await
 }
 
-/// The reading half: bytes as they come, packets as they are whole.
-struct Input13<'a> {
-    stream: &'a Async<TcpStream>,
-    bytes: Vec<u8>,
+/// The reading half: packets as they are whole.
+struct Input13 {
+    intake: Intake,
 }
 
-impl Input13<'_> {
-    /// Reads more bytes.
-    async fn more(&mut self) -> Result<(), End> {
-        let mut chunk = [0; 4096];
-        let mut stream = self.stream;
-        match stream.read(&mut chunk).await {
-            Ok(0) if self.bytes.is_empty() => Err(End::Now("peer-closed")),
-            Ok(0) => Err(End::Now("cut-off")),
-            Ok(n) => {
-                self.bytes.extend_from_slice(&chunk[..n]);
-                Ok(())
-            }
-            Err(_) => Err(End::Now("peer-reset")),
-        }
-    }
-
+impl Input13 {
     /// The next packet. One that has begun must be whole in time; with `until` the wait for it ends too.
-    async fn packet(&mut self, front: &Front, until: Option<f64>) -> Result<Vec<u8>, End> {
+    async fn packet(&mut self, connection: &Connection, until: Option<f64>) -> Result<Vec<u8>, Stop> {
         let mut until = until;
         loop {
-            if let Some(payload) = take_packet(&mut self.bytes).map_err(|e| End::Now(e.code()))? {
+            let bytes = &mut self.intake.bytes;
+            if let Some(payload) = take_packet(bytes).map_err(|e| Stop::Spoilt(e.code()))? {
                 return Ok(payload);
             }
-            if until.is_none() && !self.bytes.is_empty() {
-                until = Some(front.clock.now() + MESSAGE_MS);
+            if until.is_none() && !bytes.is_empty() {
+                until = Some(connection.front.clock.now() + MESSAGE_MS);
             }
-            let late = async {
-                match until {
-                    Some(at) => front.clock.until(at).await,
-                    None => future::pending().await,
-                }
-                Err(End::Now("sender-stalled"))
-            };
-            future::or(self.more(), late).await?;
+            self.intake.more(&connection.writer, until).await?;
         }
     }
 }
 
-async fn converse(input: &mut Input13<'_>, connection: &Rc<Connection>, options: &Options) -> End {
+async fn converse(input: &mut Input13, connection: &Rc<Connection>, options: &Options) -> Stop {
     let front = &connection.front;
     loop {
-        let payload = match input.packet(front, None).await {
+        let payload = match input.packet(connection, None).await {
             Ok(payload) => payload,
-            Err(end) => return end,
+            Err(stop) => return stop,
         };
         connection.guest.heard(front.clock.now());
         match payload.first() {
@@ -526,12 +485,12 @@
                 let end = request(input, connection, options, &payload).await;
                 connection.guest.busy.set(false);
                 match end {
-                    Ok(()) if connection.guest.told.get() => return End::After("drained"),
+                    Ok(()) if connection.guest.told() => return Stop::Orderly("drained"),
                     Ok(()) => {}
-                    Err(end) => return end,
+                    Err(stop) => return stop,
                 }
             }
-            _ => return End::Now("bad-code"),
+            _ => return Stop::Spoilt("bad-code"),
         }
         connection.writer.ready().await;
         future::yield_now().await;
@@ -540,11 +499,11 @@
 
 /// One request from its head to its answer.
 async fn request(
-    input: &mut Input13<'_>,
+    input: &mut Input13,
     connection: &Rc<Connection>,
     options: &Options,
     payload: &[u8],
-) -> Result<(), End> {
+) -> Result<(), Stop> {
     let front = &connection.front;
     let t0 = front.clock.now();
     let ticket = connection.guest.read.get() + 1;
@@ -552,11 +511,11 @@
     let bad = |status: u16, reuse: bool| {
         count(&front.counters.bad_requests);
         connection.guest.answered.set(connection.guest.answered.get() + 1);
-        connection.respond(status, Vec::new(), b"", reuse && !connection.guest.told.get());
+        connection.respond(status, Vec::new(), b"", reuse && !connection.guest.told());
         // Without reuse the rest of the body may be under way, and nothing after it can be made out.
-        if reuse { Ok(()) } else { Err(End::After("bad-request")) }
+        if reuse { Ok(()) } else { Err(Stop::Orderly("bad-request")) }
     };
-    let forward = forward(payload).map_err(|e| End::Now(e.code()))?;
+    let forward = forward(payload).map_err(|e| Stop::Spoilt(e.code()))?;
     let length = match forward.body_length() {
         Ok(length) => length,
         Err(Status(status)) => return bad(status, false),
@@ -583,8 +542,8 @@
                 });
             });
         }
-        let payload = input.packet(front, Some(until.min(front.clock.now() + MESSAGE_MS))).await?;
-        let data = body_data(&payload).map_err(|e| End::Now(e.code()))?;
+        let payload = input.packet(connection, Some(until.min(front.clock.now() + MESSAGE_MS))).await?;
+        let data = body_data(&payload).map_err(|e| Stop::Spoilt(e.code()))?;
         if data.is_empty() {
             if wanted == usize::MAX {
                 break;
@@ -594,7 +553,7 @@
         }
         body.extend_from_slice(data);
         if body.len() > wanted {
-            return Err(End::Now("bad-length"));
+            return Err(Stop::Spoilt("bad-length"));
         }
         if body.len() > BODY_MOST {
             return bad(413, false);
@@ -623,13 +582,18 @@
             Ok(())
         };
         // Read on only to hear of a front end that leaves: it has nothing to say before the answer.
-        if let Err(end) = future::or(answered, input.more()).await {
-            connection.open.set(None);
-            let _ = front.queue.send(Input::Gone(connection.guest.id, ticket)).await;
-            return Err(end);
+        match future::or(answered, input.intake.more(&connection.writer, None)).await {
+            Ok(()) => {}
+            // Nothing more is taken in; what was read is still answered.
+            Err(Stop::Finishing) => return Err(Stop::Finishing),
+            Err(stop) => {
+                connection.open.set(None);
+                let _ = front.queue.send(Input::Gone(connection.guest.id, ticket)).await;
+                return Err(stop);
+            }
         }
-        if input.bytes.len() > PACKET_MOST {
-            return Err(End::Now("unasked-data"));
+        if input.intake.bytes.len() > PACKET_MOST {
+            return Err(Stop::Spoilt("unasked-data"));
         }
     }
     Ok(())
--- /dev/null
+++ b/src/node/connection.rs
@@ -0,0 +1,448 @@
+//! One caller's connection, the same for every front: what its guards know of it, its reading half, its writing half,
+//! and the one way in which it ends. No more is taken in, what was read is answered, output is flushed, the writing
+//! half is shut, what still comes is read and thrown away under a bound, then it is closed. It must never know a wire
+//! or touch a request.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::{Shutdown, TcpStream};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, future};
+use pinepoint_clock::Clock;
+use pinepoint_facts::{Limit, Turn};
+
+use super::listen::Front;
+use super::outbox::Outbox;
+use super::port::Input;
+use super::sync::{Gate, Signal};
+
+/// Queued bytes past which a connection is not read, and past which it is given up: its reader is too slow.
+const QUEUE_PAUSE: usize = 64 * 1024;
+const QUEUE_MOST: usize = 256 * 1024;
+/// Time without progress of a writer that has something to write, ms.
+const STALL_MS: f64 = 15_000.0;
+/// Between two looks at a queue that is too long, ms.
+const LOOK_MS: f64 = 20.0;
+/// Time in which a new connection has to bring its first whole message, and any the rest of one that has begun,
+/// ms. A router connects when it has something to say; what says nothing is owed an end within 3 s.
+pub const MESSAGE_MS: f64 = 1500.0;
+/// Time after the notice to go in which a connection without open requests is closed from here, ms. A router
+/// that heard the notice closes first; what stays would hold its descriptor for good.
+const TOLD_MS: f64 = 1000.0;
+/// Least wait of a guard between two looks, ms: whatever the settings say, none may turn without a pause.
+const GUARD_LEAST_MS: f64 = 5.0;
+/// How long, ms, and for how many bytes, what comes after the writing half was shut is read and thrown away. A close
+/// over unread bytes is a reset, and takes answers along that the other side has not read yet.
+const LINGER_MS: f64 = 1000.0;
+/// The same where the process is about to end, ms: within what the core leaves between the last answers and the end.
+const LAST_LINGER_MS: f64 = 60.0;
+const LINGER_BYTES: usize = 256 * 1024;
+
+/// What the guards know of one connection.
+#[derive(Debug)]
+pub struct Guest {
+    /// Tells connections apart, over all fronts.
+    pub id: u64,
+    /// Requests and checks read.
+    pub read: Cell<u64>,
+    /// Requests answered.
+    pub answered: Cell<u64>,
+    /// When it last carried something whole, ms.
+    pub used_ms: Cell<f64>,
+    /// It brought a whole message.
+    pub spoke: Cell<bool>,
+    /// Something is under way on it: an answer is owed, or a body was asked for.
+    pub busy: Cell<bool>,
+    /// The first part of a message came, and not yet the rest.
+    pub part: Cell<bool>,
+    /// It was asked to go, and is closed from here after so long without anything under way, ms.
+    told_ms: Cell<Option<f64>>,
+    /// Its place is wanted for another.
+    wanted: Cell<bool>,
+    /// Its writing half is shut; it only waits for the other side to close.
+    lingers: Cell<bool>,
+    changed: Signal,
+}
+
+impl Guest {
+    /// A connection that was accepted at this time.
+    pub fn new(id: u64, now: f64) -> Self {
+        Guest {
+            id,
+            read: Cell::new(0),
+            answered: Cell::new(0),
+            used_ms: Cell::new(now),
+            spoke: Cell::new(false),
+            busy: Cell::new(false),
+            part: Cell::new(false),
+            told_ms: Cell::new(None),
+            wanted: Cell::new(false),
+            lingers: Cell::new(false),
+            changed: Signal::default(),
+        }
+    }
+
+    /// Notes that a whole message was read: that shows why it stays.
+    pub fn heard(&self, now: f64) {
+        self.spoke.set(true);
+        self.used_ms.set(now);
+        self.wanted.set(false);
+    }
+
+    /// It was asked to go.
+    pub fn told(&self) -> bool {
+        self.told_ms.get().is_some()
+    }
+
+    /// Notes that it was asked to go; tells whether that is new. It is closed from here if it stays.
+    pub fn tell(&self, now: f64) -> bool {
+        self.tell_for(now, TOLD_MS)
+    }
+
+    /// The same where nobody is told that a notice came: it is closed as soon as nothing is under way.
+    pub fn tell_at_once(&self, now: f64) -> bool {
+        self.tell_for(now, 0.0)
+    }
+
+    fn tell_for(&self, now: f64, stays_ms: f64) -> bool {
+        if self.told() {
+            return false;
+        }
+        self.told_ms.set(Some(stays_ms));
+        self.used_ms.set(now);
+        self.changed.wake();
+        true
+    }
+
+    /// Its writing half is shut.
+    pub fn lingers(&self) -> bool {
+        self.lingers.get()
+    }
+
+    /// It was asked to make way, and has neither gone nor shown why it stays.
+    pub fn is_wanted(&self) -> bool {
+        self.wanted.get()
+    }
+
+    /// Asks it to make way for another.
+    pub fn want(&self) {
+        self.wanted.set(true);
+        self.changed.wake();
+    }
+
+    /// Completes when its place is wanted.
+    async fn is_to_make_way(&self) {
+        while !self.wanted.get() {
+            self.changed.wait().await;
+        }
+    }
+
+    /// Completes, with the reason, when the connection should go: nothing is under way on it, and it made way or said
+    /// nothing for too long. `idle_ms` is the time after which routers close idle ones themselves: what is left after it
+    /// belongs to none that lives.
+    async fn should_go(&self, clock: &Clock, idle_ms: f64) -> &'static str {
+        loop {
+            let (limit_ms, reason) = match (self.spoke.get(), self.told_ms.get()) {
+                (false, _) => (MESSAGE_MS, "silent"),
+                (true, Some(stays_ms)) => (stays_ms, "told-to-go"),
+                (true, None) => (idle_ms, "idle"),
+            };
+            let now = clock.now();
+            let at = self.used_ms.get() + limit_ms;
+            if !self.busy.get() {
+                if self.wanted.get() {
+                    return "gave-way";
+                }
+                // Half a message has a bound of its own; it must not be taken for silence of one that spoke before.
+                if now >= at && !(self.spoke.get() && self.part.get()) {
+                    return reason;
+                }
+            }
+            let wait_ms = if at > now { at - now } else { limit_ms };
+            future::or(self.changed.wait(), clock.pause(wait_ms.clamp(GUARD_LEAST_MS, TOLD_MS))).await;
+        }
+    }
+}
+
+/// Why nothing more is taken in on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// What was read is answered; then it ends in order.
+    Orderly(&'static str),
+    /// The same, as the other side says nothing more.
+    PeerClosed,
+    /// The same, as the process is about to end.
+    Finishing,
+    /// What came is no message of its wire. What was read before it is failed at once, and it ends in order.
+    Spoilt(&'static str),
+    /// Nothing was under way, nothing unread, and its writing half is shut already.
+    Shut(&'static str),
+    /// Nobody is there to be answered.
+    Abandoned(&'static str),
+}
+
+/// The reading half: bytes as they come.
+pub struct Intake {
+    stream: Rc<Async<TcpStream>>,
+    guest: Rc<Guest>,
+    front: Rc<Front>,
+    /// What was read and no message was made of yet.
+    pub bytes: Vec<u8>,
+    /// Waits from one reading to the next: its timers are set anew only where its time has changed.
+    guard: Pin<Box<dyn Future<Output = Event>>>,
+}
+
+enum Event {
+    Read(io::Result<usize>),
+    Late,
+    ShouldGo(&'static str),
+    Finishing,
+}
+
+/// Completes when the connection should go, or all that is left was answered.
+fn guard(guest: Rc<Guest>, front: Rc<Front>) -> Pin<Box<dyn Future<Output = Event>>> {
+    Box::pin(async move {
+        let should_go = async { Event::ShouldGo(guest.should_go(&front.clock, front.idle_ms()).await) };
+        let finishing = async {
+            front.status.finishing.passed().await;
+            Event::Finishing
+        };
+        future::or(finishing, should_go).await
+    })
+}
+
+impl Intake {
+    /// Of a connection of which nothing was read.
+    pub fn new(stream: Rc<Async<TcpStream>>, guest: Rc<Guest>, front: Rc<Front>) -> Self {
+        let guard = guard(guest.clone(), front.clone());
+        Intake { stream, guest, front, bytes: Vec::new(), guard }
+    }
+
+    /// Reads more bytes. With `until` the wait for them has an end: something has begun that must be whole by then.
+    /// Whatever brings the end, what had come before it is read first.
+    pub async fn more(&mut self, writer: &Writer, until: Option<f64>) -> Result<(), Stop> {
+        self.guest.part.set(!self.bytes.is_empty());
+        if self.bytes.is_empty() {
+            // A buffer that keeps its peak is memory for as long as the connection stays.
+            self.bytes = Vec::new();
+        }
+        let mut chunk = [0; 4096];
+        loop {
+            let late = async {
+                match until {
+                    Some(at) => self.front.clock.until(at).await,
+                    None => future::pending().await,
+                }
+                Event::Late
+            };
+            let mut stream = &*self.stream;
+            // Reading comes first: it tries the socket at each turn.
+            let read = async { Event::Read(stream.read(&mut chunk).await) };
+            match future::or(read, future::or(late, &mut self.guard)).await {
+                Event::Read(Ok(0)) => return Err(Stop::PeerClosed),
+                Event::Read(Ok(n)) => {
+                    self.bytes.extend_from_slice(&chunk[..n]);
+                    return Ok(());
+                }
+                Event::Read(Err(_)) => return Err(Stop::Abandoned("peer-reset")),
+                Event::Late => return Err(Stop::Orderly("sender-stalled")),
+                Event::Finishing => return Err(Stop::Finishing),
+                Event::ShouldGo(reason) => {
+                    self.guard = guard(self.guest.clone(), self.front.clone());
+                    if let Some(stop) = self.shut_if_quiet(reason, writer).await {
+                        return Err(stop);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Shuts the writing half unless something came meanwhile. Between the look at the socket and the shutdown nothing
+    /// else happens: what the other side wrote before it is read, what it writes after it finds the connection shut and is
+    /// sent again elsewhere.
+    async fn shut_if_quiet(&self, reason: &'static str, writer: &Writer) -> Option<Stop> {
+        writer.flushed().await;
+        let socket = self.stream.get_ref();
+        match socket.peek(&mut [0]) {
+            Ok(0) => Some(Stop::PeerClosed),
+            Ok(_) => {
+                self.guest.wanted.set(false);
+                None
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                let _ = socket.shutdown(Shutdown::Write);
+                Some(Stop::Shut(reason))
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => None,
+            Err(_) => Some(Stop::Abandoned("peer-reset")),
+        }
+    }
+}
+
+/// The writing half: its bounded queue, and its end.
+pub struct Writer {
+    outbox: Outbox,
+    front: Rc<Front>,
+    accounted: Cell<usize>,
+    too_slow: Gate,
+    flushed: Signal,
+    ending: Cell<Option<&'static str>>,
+}
+
+impl Writer {
+    /// A writer with an empty queue.
+    pub fn new(front: Rc<Front>) -> Self {
+        Writer {
+            outbox: Outbox::default(),
+            front,
+            accounted: Cell::new(0),
+            too_slow: Gate::default(),
+            flushed: Signal::default(),
+            ending: Cell::new(None),
+        }
+    }
+
+    /// Queues bytes, and marks the connection for its end if nobody reads what is queued.
+    pub fn push(&self, fill: impl FnOnce(&mut Vec<u8>)) {
+        let backlog = self.outbox.backlog();
+        if backlog > QUEUE_MOST || self.front.room.is_queued_full(backlog) {
+            if self.too_slow.open() {
+                let front = &self.front;
+                front.observer.turn(front.clock.now(), Turn::Reached(Limit::Unread));
+            }
+            return;
+        }
+        self.outbox.push(fill);
+        self.account(self.outbox.backlog());
+    }
+
+    /// Ends the connection, for this reason, once nothing is open and all is written.
+    fn end(&self, reason: &'static str) {
+        self.ending.set(self.ending.get().or(Some(reason)));
+        self.outbox.wake();
+    }
+
+    /// Books the bytes that are queued here in the sum over all connections.
+    fn account(&self, queued: usize) {
+        self.front.room.account(self.accounted.replace(queued), queued);
+    }
+
+    /// Completes when the queue is short enough for more to be read.
+    pub async fn ready(&self) {
+        while self.outbox.backlog() > QUEUE_PAUSE {
+            self.front.clock.pause(LOOK_MS).await;
+        }
+    }
+
+    /// Completes when all that was queued is with the system. One whose reader stalls is ended by the writer's own task.
+    async fn flushed(&self) {
+        while self.outbox.backlog() > 0 {
+            self.flushed.wait().await;
+        }
+    }
+
+    /// Writes what is queued until the connection ends: the reason, in `Ok` if all was written.
+    async fn run(
+        &self,
+        stream: &Async<TcpStream>,
+        nothing_open: impl Fn() -> bool,
+    ) -> Result<&'static str, &'static str> {
+        loop {
+            let stalled = async {
+                let mut left = self.outbox.backlog();
+                loop {
+                    self.front.clock.pause(STALL_MS).await;
+                    let now = self.outbox.backlog();
+                    if left > 0 && now >= left {
+                        return Err("reader-stalled");
+                    }
+                    left = now;
+                }
+            };
+            // A write that nobody reads never returns: what ends the connection must not wait for it, or its
+            // requests would go on being read and their answers dropped.
+            let too_slow = async {
+                self.too_slow.passed().await;
+                Err("reader-too-slow")
+            };
+            let flushed = async { self.outbox.flush(stream).await.map_err(|_| "peer-reset") };
+            future::or(too_slow, future::or(flushed, stalled)).await?;
+            self.account(self.outbox.backlog());
+            self.flushed.wake();
+            if let Some(reason) = self.ending.get().filter(|_| nothing_open() && self.outbox.backlog() == 0) {
+                return Ok(reason);
+            }
+        }
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.account(0);
+    }
+}
+
+/// Has a connection from its first byte to its end. `reading` takes messages in until it says why it stops;
+/// `nothing_open` tells whether no answer is owed on it. Returns the reason code of the end.
+pub async fn run(
+    stream: &Async<TcpStream>,
+    guest: &Guest,
+    front: &Front,
+    writer: &Writer,
+    reading: impl Future<Output = Stop>,
+    nothing_open: impl Fn() -> bool,
+) -> &'static str {
+    let reading = async {
+        match reading.await {
+            Stop::Orderly(reason) => writer.end(reason),
+            Stop::PeerClosed if guest.part.get() => writer.end("cut-off"),
+            Stop::PeerClosed if guest.told() => writer.end("drained"),
+            Stop::PeerClosed => writer.end("peer-closed"),
+            Stop::Finishing => writer.end("stopping"),
+            Stop::Spoilt(reason) => {
+                let _ = front.queue.send(Input::Spoilt(guest.id)).await;
+                writer.end(reason);
+            }
+            Stop::Shut(reason) => return Ok(reason),
+            Stop::Abandoned(reason) => return Err(reason),
+        }
+        future::pending().await
+    };
+    let ended = future::or(reading, writer.run(stream, nothing_open)).await;
+    match ended {
+        Ok(reason) => {
+            linger(stream, guest, front).await;
+            reason
+        }
+        // What it was owed nobody reads.
+        Err(reason) => reason,
+    }
+}
+
+/// Shuts the writing half and throws away what still comes, until the other side closes or a bound is reached.
+async fn linger(mut stream: &Async<TcpStream>, guest: &Guest, front: &Front) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    guest.lingers.set(true);
+    let finishing = async {
+        front.status.finishing.passed().await;
+        front.clock.pause(LAST_LINGER_MS).await;
+    };
+    let mut bound =
+        pin!(future::or(front.clock.pause(LINGER_MS), future::or(guest.is_to_make_way(), finishing)));
+    let (mut chunk, mut left) = ([0; 4096], LINGER_BYTES);
+    loop {
+        let bound = async {
+            bound.as_mut().await;
+            Ok(0)
+        };
+        match future::or(stream.read(&mut chunk), bound).await {
+            Ok(n) if n > 0 && n < left => left -= n,
+            _ => return,
+        }
+        future::yield_now().await;
+    }
+}
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -13,7 +13,8 @@
 
 use super::counters::{Counters, count};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
-use super::port::{Arrival, Caller, Engine, Input, Reply, RunEnd, Store};
+use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
+use super::port::{Arrival, Caller, Doors, Engine, Input, Reply, RunEnd, Store};
 use super::requests::{Feed, Open, Phase, Requests};
 use super::status::Status;
 use crate::settings::Site;
@@ -26,12 +27,6 @@
 const WATCH_MS: f64 = 50.0;
 /// Part of the answer slack after which the core answers what the decisions have not.
 const OVERDUE_PART: f64 = 0.8;
-/// Part of the grace, and of the time to the kill at most, in which one that leaves goes on taking work.
-const WORK_PART: f64 = 0.8;
-const WORK_STOP_PART: f64 = 0.6;
-/// Before the kill, ms: the core answers all that is left, and the process ends.
-const LAST_ANSWERS_MS: f64 = 120.0;
-const EXIT_MS: f64 = 60.0;
 /// Between two clearings of the key table, ms.
 const KEY_SWEEP_MS: f64 = 1000.0;
 /// How far ahead of the clock a request may say it came, ms, and how many times its class's time, and this much
@@ -71,11 +66,14 @@
     pub engine: Rc<dyn Engine>,
     /// The store.
     pub store: Rc<dyn Store>,
+    /// The doors, and who has come in by them.
+    pub doors: Rc<dyn Doors>,
 }
 
 /// The core. [`Core::run`] is its task; the rest is for that task alone.
 pub struct Core {
     parts: Parts,
+    life: Lifecycle,
     controller: Option<Controller>,
     callers: BTreeMap<u64, Rc<dyn Caller>>,
     requests: Requests,
@@ -92,7 +90,6 @@
     watched_ms: f64,
     swept_ms: f64,
     idle_ms: Option<f64>,
-    leave_ms: Option<f64>,
     instant_keys: Vec<Key>,
     /// Requests with keys that ended in the instant in hand: number, key, digest.
     ended: Vec<(u32, Key, u64)>,
@@ -104,7 +101,9 @@
     /// A core without a decision module: that is made when the engine says how the machine started.
     pub fn new(parts: Parts) -> Self {
         let keys = Keys::new(RESULTS_PART * parts.memory_mb * 1_048_576.0);
+        let times = Times { grace_ms: parts.site.settings.rules.drain_grace_ms, stop_ms: parts.stop_ms };
         Core {
+            life: Lifecycle::new(times, parts.site.listed_by_health),
             parts,
             controller: None,
             callers: BTreeMap::new(),
@@ -122,7 +121,6 @@
             watched_ms: 0.0,
             swept_ms: 0.0,
             idle_ms: None,
-            leave_ms: None,
             instant_keys: Vec::new(),
             ended: Vec::new(),
             now_ms: 0.0,
@@ -132,9 +130,9 @@
     /// Serves until the node has left: all that is queued, then one settlement, then sleep. Returns when the process
     /// will be killed, ms.
     pub async fn run(mut self, queue: Receiver<Input>) -> f64 {
+        let (clock, status) = (self.parts.clock.clone(), self.parts.status.clone());
         loop {
             let due = self.next_due();
-            let clock = self.parts.clock.clone();
             let timer = async {
                 match due {
                     Some(at) => clock.until(at).await,
@@ -142,18 +140,27 @@
                 }
                 None
             };
-            let first = future::or(async { queue.recv().await.ok() }, timer).await;
-            let now = self.parts.clock.now();
+            let notice = async {
+                status.notice.wait().await;
+                None
+            };
+            let first = future::or(async { queue.recv().await.ok() }, future::or(notice, timer)).await;
+            let now = clock.now();
+            if let Some(at_ms) = status.notice_ms.take() {
+                self.leave(now, at_ms);
+            }
             first.into_iter().for_each(|input| self.take(now, input));
             while let Ok(input) = queue.try_recv() {
                 self.take(now, input);
             }
             self.settle(now);
-            if self.has_left(now) {
+            if self.life.phase() == Life::Gone {
                 self.parts.observer.state(now, &self.state());
                 self.turn(Turn::Left);
-                return self.leave_ms.map_or(f64::INFINITY, |since| since + self.parts.stop_ms);
+                return self.life.kill_ms().unwrap_or(f64::INFINITY);
             }
+            // A timer that is due again at once must not keep all others from theirs.
+            future::yield_now().await;
         }
     }
 
@@ -209,7 +216,7 @@
         self.now_ms = now;
         match input {
             Input::Opened(caller) => {
-                if self.work_is_over(now) {
+                if self.life.phase() >= Life::ToldToGo {
                     caller.leave();
                 }
                 self.callers.insert(caller.id(), caller);
@@ -226,6 +233,11 @@
                     self.gone(now, id);
                 }
             }
+            Input::Spoilt(caller) => {
+                for id in self.requests.owed_to(caller) {
+                    self.give_up(now, id, Reply::Failed { late: false, why: Failure::SpoiltConnection });
+                }
+            }
             Input::EngineUp { cold, ms } => self.engine_up(now, cold, ms),
             Input::EngineDown => {
                 self.engine_up = false;
@@ -266,7 +278,6 @@
                 }
             }
             Input::CallEnded(call, outcome, reply) => self.call_ended(now, call, outcome, reply),
-            Input::Leave => self.leave(now),
             Input::Look => self.parts.observer.state(now, &self.state()),
         }
     }
@@ -281,12 +292,26 @@
         };
         let key = name.map(|name| (arrival.class, name));
         let due_ms = arrival.t0 + class.deadline_ms;
-        // Without a module nothing runs, and a name in use would mix up two runs: neither try has run.
-        if self.controller.is_none() || self.requests.by_rid(&arrival.rid).is_some() {
-            let why = if self.controller.is_none() { Refusal::NotUp } else { Refusal::NameInUse };
+        // All that was read before has its answer, and the process ends in a moment.
+        if self.life.phase() >= Life::Finishing {
+            self.turn_back(now, &arrival, &Reply::Failed { late: true, why: Failure::Stop });
+            return;
+        }
+        // Without a module nothing runs.
+        if self.controller.is_none() {
+            let why = Refusal::NotUp;
             self.turn_back(now, &arrival, &Reply::Refused { backoff_ms: 0.0, last: false, why });
             return;
         }
+        // A name in use would mix up two runs. This try has not run, but another of its request may have an effect.
+        if self.requests.by_rid(&arrival.rid).is_some() {
+            let reply = match class.effect {
+                Effect::Read => Reply::Refused { backoff_ms: 0.0, last: false, why: Refusal::NameInUse },
+                _ => Reply::Failed { late: false, why: Failure::NameInUse },
+            };
+            self.turn_back(now, &arrival, &reply);
+            return;
+        }
         let unread_most = class.deadline_ms * UNREAD_MOST + UNREAD_MORE_MS;
         if !(-AHEAD_MOST_MS..=unread_most).contains(&(now - arrival.t0)) {
             count(&self.parts.counters.bad_times);
@@ -399,6 +424,10 @@
             self.parts.engine.stat(self.asks);
             return;
         }
+        if !self.life.engine_up() {
+            // Told to leave before, it begins nothing any more.
+            return;
+        }
         let mut settings = self.parts.site.settings.clone();
         settings.cold = cold;
         match Controller::new(settings, self.parts.seed) {
@@ -406,8 +435,8 @@
                 controller.handle(now - ms.max(0.0), Event::Begin, &mut self.actions);
                 self.controller = Some(controller);
                 self.turn(Turn::Up { cold });
-                self.parts.status.listed.set(Some(true));
-                self.parts.status.report.wake();
+                self.life.set_healthy(true);
+                self.publish();
             }
             Err(error) => tracing::error!(%error, "settings-unusable"),
         }
@@ -556,38 +585,59 @@
         open.fed = (linked && feed_to(open, &*self.parts.engine)).then_some(self.asks);
     }
 
-    fn leave(&mut self, now: f64) {
-        if self.leave_ms.is_some() {
+    /// The notice to leave, which came at this time.
+    pub fn leave(&mut self, now: f64, at_ms: f64) {
+        self.now_ms = now;
+        if !self.life.notice(at_ms) {
             return;
         }
-        tracing::info!(open = self.requests.len(), connections = self.callers.len(), "leaving");
-        self.leave_ms = Some(now);
-        self.parts.status.leaving.set(true);
-        self.parts.status.healthy.set(false);
-        self.parts.status.listed.set(Some(false));
-        self.parts.status.report.wake();
-        self.turn(Turn::Leaving { kill_ms: now + self.parts.stop_ms });
-        self.tell(now, Event::Leave { kill_ms: now + self.parts.stop_ms });
+        let late_ms = (now - at_ms).round();
+        tracing::info!(open = self.requests.len(), connections = self.callers.len(), late_ms, "leaving");
+        let kill_ms = at_ms + self.parts.stop_ms;
+        self.publish();
+        self.turn(Turn::Leaving { kill_ms });
+        self.tell(at_ms, Event::Leave { kill_ms });
+        // One that never served goes at once.
+        if self.life.phase() == Life::Closing {
+            self.close_doors();
+        }
     }
 
-    /// Whether callers are asked to go. They hear of the next comparer seconds late: sent away at once, they
-    /// would crowd the others while this one stands idle until its grace ends.
-    fn work_is_over(&self, now: f64) -> bool {
-        let grace = self.parts.site.settings.rules.drain_grace_ms;
-        let work_ms = (grace * WORK_PART).min(self.parts.stop_ms * WORK_STOP_PART);
-        self.leave_ms.is_some_and(|since| now >= since + work_ms)
+    /// Tells outside what follows from where the process stands.
+    fn publish(&self) {
+        let (published, status) = (self.life.published(), &self.parts.status);
+        status.healthy.set(published.healthy);
+        if status.listed.replace(published.listed) != published.listed {
+            status.report.wake();
+        }
     }
 
-    fn grace_is_over(&self, now: f64) -> bool {
-        let grace = self.parts.site.settings.rules.drain_grace_ms;
-        self.leave_ms.is_some_and(|since| now >= since + grace)
+    fn close_doors(&self) {
+        self.callers.values().for_each(|caller| caller.leave());
+        self.parts.status.shut.open();
     }
 
-    /// Whether the process may end: nothing is owed and nobody is connected, or the kill is near.
-    fn has_left(&self, now: f64) -> bool {
-        let Some(since) = self.leave_ms else { return false };
-        let idle = self.grace_is_over(now) && self.callers.is_empty() && self.requests.nothing_owed();
-        idle || now >= since + self.parts.stop_ms - EXIT_MS
+    /// Goes on through the life of the process as far as time and what is left allow.
+    fn live(&mut self, now: f64) {
+        loop {
+            let doors = &self.parts.doors;
+            let (doors, connections) = (doors.open(), doors.connections());
+            let owed = !self.requests.nothing_owed();
+            let Some(phase) = self.life.advance(now, Left { doors, connections, owed }) else { return };
+            match phase {
+                Life::ToldToGo => self.callers.values().for_each(|caller| caller.leave()),
+                Life::Closing => self.close_doors(),
+                Life::Finishing => {
+                    let owed = self.requests.iter().filter(|(_, open)| open.caller.is_some());
+                    for id in owed.map(|(id, _)| id).collect::<Vec<_>>() {
+                        count(&self.parts.counters.overdue);
+                        self.give_up(now, id, Reply::Failed { late: true, why: Failure::Stop });
+                    }
+                    self.parts.status.finishing.open();
+                }
+                Life::Starting | Life::Serving | Life::Leaving | Life::Gone => {}
+            }
+        }
     }
 
     // ---- time ----
@@ -596,9 +646,9 @@
     pub fn next_due(&self) -> Option<f64> {
         let timers = self.timers.iter().map(|(at, _)| *at);
         let asked = self.asked.iter().map(|asked| asked.give_up_ms);
-        let idle = self.requests.is_empty() && self.leave_ms.is_none();
+        let idle = self.requests.is_empty() && self.life.phase() <= Life::Serving;
         let watch = (!idle).then_some(self.watched_ms + WATCH_MS);
-        timers.chain(asked).chain(watch).min_by(f64::total_cmp)
+        timers.chain(asked).chain(watch).chain(self.life.next_due()).min_by(f64::total_cmp)
     }
 
     fn run_timers(&mut self, now: f64) {
@@ -627,29 +677,26 @@
         }
     }
 
-    /// What holds whatever the module does: nothing stays unanswered past its time or the stop.
+    /// Answers what the decisions have not, and ends what is left of it.
+    fn give_up(&mut self, now: f64, id: u32, reply: Reply) {
+        self.answer(id, reply, false);
+        let phase = self.requests.get(id).map(|open| open.phase);
+        self.tell(now, Event::CallerGone { id });
+        match phase {
+            Some(Phase::Held | Phase::Waiting) => self.forget_request(id),
+            Some(Phase::AtCall | Phase::Calling) => self.end_at_call(id),
+            _ => {}
+        }
+    }
+
+    /// What holds whatever the module does: nothing stays unanswered past its time.
     fn watch(&mut self, now: f64) {
         let slack = self.parts.site.settings.rules.answer_slack_ms * OVERDUE_PART;
-        let kill = self.leave_ms.map_or(f64::INFINITY, |since| since + self.parts.stop_ms - LAST_ANSWERS_MS);
         let owed = self.requests.iter().filter(|(_, open)| open.caller.is_some());
-        let late = owed.filter(|(_, open)| now >= kill || now >= open.due_ms + slack);
+        let late = owed.filter(|(_, open)| now >= open.due_ms + slack);
         for id in late.map(|(id, _)| id).collect::<Vec<_>>() {
             count(&self.parts.counters.overdue);
-            let why = if now >= kill { Failure::Stop } else { Failure::Overdue };
-            self.answer(id, Reply::Failed { late: true, why }, false);
-            let phase = self.requests.get(id).map(|open| open.phase);
-            self.tell(now, Event::CallerGone { id });
-            match phase {
-                Some(Phase::Held | Phase::Waiting) => self.forget_request(id),
-                Some(Phase::AtCall | Phase::Calling) => self.end_at_call(id),
-                _ => {}
-            }
-        }
-        if self.work_is_over(now) {
-            self.callers.values().for_each(|caller| caller.leave());
-        }
-        if self.grace_is_over(now) {
-            self.parts.status.shut.open();
+            self.give_up(now, id, Reply::Failed { late: true, why: Failure::Overdue });
         }
         if let Some(after_ms) = self.idle_ms {
             self.callers.values().for_each(|caller| caller.leave_if_idle(now - after_ms));
@@ -665,6 +712,7 @@
     /// Ends an instant: due timers, one settlement, and everything the module wants done.
     pub fn settle(&mut self, now: f64) {
         self.now_ms = now;
+        self.live(now);
         self.run_timers(now);
         self.instant_keys.clear();
         loop {
@@ -731,11 +779,8 @@
             }
             Action::Reuse { id } => self.reuse(id),
             Action::Health { good, .. } => {
-                self.parts.status.healthy.set(good);
-                if self.parts.site.listed_by_health && self.leave_ms.is_none() {
-                    self.parts.status.listed.set(Some(good));
-                    self.parts.status.report.wake();
-                }
+                self.life.set_healthy(good);
+                self.publish();
             }
             Action::Advise { value } => self.parts.status.hint.set(Some(value)),
             Action::CloseIdle { after_ms } => self.idle_ms = Some(after_ms),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,10 +7,12 @@
 //! - [`telemetry`] is what counts are brought out by, beside the [`counters`]; [`status`] is what the core publishes.
 
 pub mod ajp;
+pub mod connection;
 pub mod core;
 pub mod counters;
 pub mod fleet;
 pub mod keys;
+pub mod lifecycle;
 pub mod links;
 pub mod listen;
 pub mod outbox;
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -42,6 +42,14 @@
     fn drop_call(&self, call: u64);
 }
 
+/// The doors of the process, as one that leaves looks at them.
+pub trait Doors {
+    /// Listening sockets that are open, or that someone stands before.
+    fn open(&self) -> usize;
+    /// Connections of callers that are not closed, whether the core has heard of them or not.
+    fn connections(&self) -> usize;
+}
+
 /// A final answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -118,6 +126,8 @@
     Request(Box<Arrival>),
     /// The caller gave this request up.
     Gone(u64, u64),
+    /// What came on a connection is no message of its wire: what was read on it before is to be failed.
+    Spoilt(u64),
     /// The engine answered an attach.
     EngineUp {
         /// It started cold.
@@ -137,8 +147,6 @@
     Declined(String, String),
     /// The call of this number is over, with the reply if it went well.
     CallEnded(u64, Outcome, Option<Vec<u8>>),
-    /// The notice to leave.
-    Leave,
     /// A question for the state, which the observer is told.
     Look,
 }
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, future};
+use futures_lite::future;
 
+use super::connection::{self, Guest, Intake, MESSAGE_MS, Stop, Writer};
 use super::counters::count;
-use super::listen::{Front, Guest, MESSAGE_MS, Writer};
+use super::listen::Front;
 use super::port::{Arrival, Caller, Input, Reply};
 use crate::Effect;
 use crate::settings::Site;
@@ -422,8 +423,7 @@
     }
 
     fn leave(&self) {
-        if !self.guest.told.replace(true) {
-            self.guest.used_ms.set(self.front.clock.now());
+        if self.guest.tell(self.front.clock.now()) {
             self.writer.push(|out| {
                 out.extend_from_slice(&[0x93, 0x02]);
                 write_str(out, "goaway");
@@ -449,58 +449,35 @@
         last_id: Cell::new(0),
     });
     let _ = front.queue.send(Input::Opened(connection.clone())).await;
-    let writing = connection.writer.run(&stream, || connection.open.borrow().is_empty());
-    future::or(read(&stream, &connection), writing).await
+    let mut intake = Intake::new(stream.clone(), connection.guest.clone(), front.clone());
+    let reading = read(&mut intake, &connection);
+    let nothing_open = || connection.open.borrow().is_empty();
+    connection::run(&stream, &connection.guest, &front, &connection.writer, reading, nothing_open).await
 }
 
-async fn read(mut stream: &Async<TcpStream>, connection: &Rc<Connection>) -> &'static str {
+async fn read(intake: &mut Intake, connection: &Rc<Connection>) -> Stop {
     let front = &connection.front;
-    let mut input = Vec::new();
-    let mut chunk = [0; 4096];
     // When the message began whose first part is all there is.
     let mut part_ms = None;
     loop {
-        let late = async {
-            match part_ms {
-                Some(began) => front.clock.until(began + MESSAGE_MS).await,
-                None => future::pending().await,
-            }
-            None
-        };
-        let ended = match future::or(async { Some(stream.read(&mut chunk).await) }, late).await {
-            Some(Ok(0)) if connection.guest.told.get() => "drained",
-            Some(Ok(0)) => "peer-closed",
-            Some(Ok(n)) => {
-                input.extend_from_slice(&chunk[..n]);
-                ""
-            }
-            Some(Err(_)) => return "peer-reset",
-            None => "sender-stalled",
-        };
-        if !ended.is_empty() {
-            // What was read whole is still answered: the other side may only have ended its half. What was cut
-            // off was never read.
-            connection.writer.end(ended);
-            return future::pending().await;
+        if let Err(stop) = intake.more(&connection.writer, part_ms.map(|began: f64| began + MESSAGE_MS)).await
+        {
+            return stop;
         }
         loop {
-            match take_message(&mut input, &front.site) {
+            match take_message(&mut intake.bytes, &front.site) {
                 Ok(None) => break,
                 Ok(Some(message)) => {
                     part_ms = None;
                     connection.guest.heard(front.clock.now());
                     if let Err(error) = handle(message, connection).await {
-                        return error.code();
+                        return Stop::Spoilt(error.code());
                     }
                 }
-                Err(error) => return error.code(),
+                Err(error) => return Stop::Spoilt(error.code()),
             }
         }
-        part_ms = (!input.is_empty()).then(|| part_ms.unwrap_or(front.clock.now()));
-        if input.is_empty() {
-            // A buffer that keeps its peak is memory for as long as the connection stays.
-            input = Vec::new();
-        }
+        part_ms = (!intake.bytes.is_empty()).then(|| part_ms.unwrap_or(front.clock.now()));
         connection.writer.ready().await;
         future::yield_now().await;
     }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -11,12 +11,16 @@
     pub healthy: Cell<bool>,
     /// The free value that goes with every answer.
     pub hint: Cell<Option<f64>>,
-    /// The notice to leave has come.
-    pub leaving: Cell<bool>,
+    /// When the notice to leave came, Unix ms. It does not stand in line behind what else reaches the core.
+    pub notice_ms: Cell<Option<f64>>,
+    /// Wakes the core to look at it.
+    pub notice: Signal,
     /// What the membership service is told: nothing before the engine is up, then whether work is taken.
     pub listed: Cell<Option<bool>>,
     /// Wakes the membership report.
     pub report: Signal,
-    /// The listening sockets are closed from now on.
+    /// The doors shut from now on, behind those who stand before them.
     pub shut: Gate,
+    /// All that was read is answered, and nothing more is taken in: the process is about to end.
+    pub finishing: Gate,
 }
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -7,7 +7,7 @@
 
 use pinepoint::node::core::{Core, Parts};
 use pinepoint::node::counters::Counters;
-use pinepoint::node::port::{Arrival, Caller, Engine, Input, Reply, RunEnd, Store};
+use pinepoint::node::port::{Arrival, Caller, Doors, Engine, Input, Reply, RunEnd, Store};
 use pinepoint::node::status::Status;
 use pinepoint::settings::Site;
 use pinepoint::{Effect, Outcome};
@@ -53,6 +53,15 @@
     }
 }
 
+impl Doors for Seen {
+    fn open(&self) -> usize {
+        0
+    }
+    fn connections(&self) -> usize {
+        0
+    }
+}
+
 impl Observer for Seen {
     fn note(&self, _: f64, fact: Fact) {
         self.facts.borrow_mut().push(fact);
@@ -141,6 +150,7 @@
             observer: seen.clone(),
             engine: seen.clone(),
             store: seen.clone(),
+            doors: seen.clone(),
         };
         Bench { core: Core::new(parts), seen, now: 1_000_000.0, tickets: 0, notices: 0 }
     }
@@ -220,7 +230,10 @@
                 }
             }
             Step::Closed { caller } => self.tell(Input::Closed(u64::from(caller % 3))),
-            Step::Leave => self.tell(Input::Leave),
+            Step::Leave => {
+                self.core.leave(self.now, self.now);
+                self.core.settle(self.now);
+            }
         }
     }
 
--- /dev/null
+++ b/tests/lifecycle.rs
@@ -0,0 +1,166 @@
+//! The life of the process by itself: which phase may follow on which, whatever comes in whatever order.
+
+use pinepoint::node::lifecycle::{Left, Lifecycle, Phase, Published, Times};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use Phase::{Closing, Finishing, Gone, Leaving, Serving, Starting, ToldToGo};
+
+const ALL: [Phase; 7] = [Starting, Serving, Leaving, ToldToGo, Closing, Finishing, Gone];
+const TIMES: Times = Times { grace_ms: 1000.0, stop_ms: 2000.0 };
+const NOTHING: Left = Left { doors: 0, connections: 0, owed: false };
+const DOOR: Left = Left { doors: 1, ..NOTHING };
+
+fn serving() -> Lifecycle {
+    let mut life = Lifecycle::new(TIMES, true);
+    assert!(life.engine_up());
+    life.set_healthy(true);
+    life
+}
+
+/// Advances as far as it goes at this time.
+fn advance(life: &mut Lifecycle, now: f64, left: Left) -> Phase {
+    while life.advance(now, left).is_some() {}
+    life.phase()
+}
+
+#[test]
+fn no_phase_comes_back_and_only_known_ones_follow() {
+    let legal: Vec<(Phase, Phase)> = ALL
+        .into_iter()
+        .flat_map(|from| ALL.into_iter().map(move |to| (from, to)))
+        .filter(|(from, to)| from.may_become(*to))
+        .collect();
+    let wanted = [
+        (Starting, Serving),
+        (Starting, Closing),
+        (Serving, Leaving),
+        (Leaving, ToldToGo),
+        (ToldToGo, Closing),
+        (Closing, Finishing),
+        (Closing, Gone),
+        (Finishing, Gone),
+    ];
+    assert_eq!(legal, wanted);
+    assert!(legal.iter().all(|(from, to)| from < to));
+}
+
+#[test]
+fn a_drain_goes_through_its_phases_by_the_time_of_the_notice() {
+    let mut life = serving();
+    assert!(life.notice(5000.0), "taken late, it counts from when it came");
+    assert_eq!(advance(&mut life, 5799.0, DOOR), Leaving);
+    assert_eq!(advance(&mut life, 5800.0, DOOR), ToldToGo);
+    assert_eq!(advance(&mut life, 5999.0, NOTHING), ToldToGo, "others still hear of it late");
+    assert_eq!(advance(&mut life, 6000.0, DOOR), Closing);
+    assert_eq!(advance(&mut life, 6799.0, DOOR), Closing);
+    assert_eq!(advance(&mut life, 6800.0, DOOR), Finishing);
+    assert_eq!(advance(&mut life, 6939.0, DOOR), Finishing);
+    assert_eq!(advance(&mut life, 6940.0, DOOR), Gone, "the kill is near");
+    assert_eq!(life.kill_ms(), Some(7000.0));
+    assert!(!life.notice(6950.0), "a second notice moves nothing");
+    assert_eq!(life.kill_ms(), Some(7000.0));
+}
+
+#[test]
+fn it_ends_when_nothing_is_left_and_not_before() {
+    let somebody = [DOOR, Left { connections: 1, ..NOTHING }, Left { owed: true, ..NOTHING }];
+    for left in somebody {
+        let mut life = serving();
+        life.notice(0.0);
+        assert_eq!(advance(&mut life, 1000.0, left), Closing, "{left:?}");
+        assert_eq!(advance(&mut life, 1001.0, NOTHING), Gone);
+    }
+}
+
+#[test]
+fn the_notice_before_the_engine_is_up_is_not_undone_by_the_engine() {
+    let mut life = Lifecycle::new(TIMES, true);
+    assert_eq!(life.published(), Published { healthy: false, listed: None });
+    assert!(life.notice(0.0));
+    assert_eq!(life.phase(), Closing);
+    assert!(!life.engine_up(), "nothing may begin to serve");
+    life.set_healthy(true);
+    assert_eq!(life.published(), Published { healthy: false, listed: Some(false) });
+    assert_eq!(advance(&mut life, 1.0, NOTHING), Gone, "nobody was ever told of it");
+}
+
+#[test]
+fn the_list_follows_health_only_where_the_site_says_so() {
+    for (by_health, listed) in [(true, false), (false, true)] {
+        let mut life = Lifecycle::new(TIMES, by_health);
+        life.engine_up();
+        life.set_healthy(false);
+        assert_eq!(life.published(), Published { healthy: false, listed: Some(listed) });
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Up,
+    Notice,
+    Health(bool),
+    Pass(f64, bool),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// Whatever the times of a site and the order of events: phases only go on, nothing is published as taking work
+    /// past the notice, what is answered last is written for a moment, and each wait has an end.
+    #[test]
+    fn whatever_comes_in_whatever_order(
+        grace_ms in prop_oneof![Just(0.0), 1.0..5000.0f64],
+        stop_ms in prop_oneof![0.001..10.0f64, 10.0..6000.0f64],
+        steps in proptest::collection::vec(prop_oneof![
+            1 => Just(Step::Up),
+            1 => Just(Step::Notice),
+            1 => any::<bool>().prop_map(Step::Health),
+            4 => (0.0..1500.0f64, any::<bool>()).prop_map(|(ms, left)| Step::Pass(ms, left)),
+        ], 1..20),
+    ) {
+        let mut life = Lifecycle::new(Times { grace_ms, stop_ms }, true);
+        let (mut now, mut told) = (1e12, None);
+        for step in &steps {
+            let before = life.phase();
+            match step {
+                Step::Up => {
+                    prop_assert_eq!(life.engine_up(), before == Starting);
+                }
+                Step::Notice => {
+                    prop_assert_eq!(life.notice(now), told.is_none());
+                    told = told.or(Some(now));
+                }
+                Step::Health(good) => life.set_healthy(*good),
+                Step::Pass(ms, left) => {
+                    now += ms;
+                    advance(&mut life, now, if *left { DOOR } else { NOTHING });
+                }
+            }
+            prop_assert!(life.phase() >= before);
+            let published = life.published();
+            if told.is_some() {
+                prop_assert_eq!(published, Published { healthy: false, listed: Some(false) });
+            }
+            if let Some(since) = told {
+                let kill = (since + stop_ms).max(now + 100.0);
+                prop_assert!(life.phase() == Gone || life.next_due().is_some_and(|due| due <= kill));
+            }
+        }
+        if let Some(since) = told {
+            let late = advance(&mut life, now.max(since + stop_ms), DOOR);
+            prop_assert!(late >= Finishing);
+            prop_assert_eq!(advance(&mut life, now.max(since + stop_ms) + 100.0, DOOR), Gone);
+        }
+    }
+}
+
+/// One that stood still until the kill was near: what it answers then it still writes.
+#[test]
+fn the_last_answers_are_written_however_late_they_are_given() {
+    let mut life = serving();
+    life.notice(5000.0);
+    assert_eq!(advance(&mut life, 7100.0, DOOR), Finishing);
+    assert_eq!(advance(&mut life, 7199.0, DOOR), Finishing);
+    assert_eq!(advance(&mut life, 7200.0, DOOR), Gone);
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -7,14 +7,19 @@
 //! | `expect` | the next line of the inbox matches the words; `*` stands for anything, a new `$name` for a word that it names from then on |
 //! | `wait` | the same, passing over lines that do not match |
 //! | `close` | close the actor's connection, of a service's the one on which the word was named, or the latest |
+//! | `shut` | end the writing half of a client's connection |
+//! | `never` | no line of the inbox matches the words: for a process that has ended |
 //!
-//! Actors: `node` (the program: `send TERM` is a signal, `send config=...` replaces its configuration; its log
-//! lines from the message on, `exit N`), `engine`, `store`, `members` (stand-ins for the services), `engine2`,
+//! Actors: `node` (the program: `send TERM` is a signal, `send config=...` replaces its configuration, `send clock=N` sets
+//! its clock N ms ahead; its log lines from the message on, `exit N`), `engine`, `store`, `members` (stand-ins for the services), `engine2`,
 //! `store2`, `members2` (where `config=moved` puts them), and any name that begins with `rpc` or `ajp` (a client
-//! that connects when it is first named). `engine` and `store` send the words as a line, on the connection where
+//! that connects when it is first named; its last line is `closed`, or `reset` if answers may have been lost). `engine` and `store` send the words as a line, on the connection where
 //! its first word was named; `|` parts off a body, whose length is added.
-//! `rpc send ID CLASS name=value ...|BODY` sends a request (`rid` is padded, `t0` counts from now); `ajp send
-//! PATH name=value ...|BODY` a Forward Request, whose body goes along unless `body=later`. `hex=...` sends raw bytes.
+//! `rpc send ID CLASS name=value ...|BODY` sends a request (`rid` is padded, `t0` counts from now, and `t0=bN` from an
+//! instant that is the same for the whole test); `ajp send
+//! PATH name=value ...|BODY` a Forward Request, whose body goes along unless `body=later`. `hex=...` sends raw bytes. Of a client,
+//! `cut=N ...` sends the first N bytes of what the words say, and `rest` the others; `queue ...` keeps the bytes, which go
+//! out in one piece with those of the next `send`.
 
 #![allow(dead_code)]
 
@@ -37,12 +42,45 @@
 pub struct Actor {
     inbox: Receiver<String>,
     streams: Streams,
+    /// Bytes that go out later.
+    kept: Vec<u8>,
 }
 
+impl Actor {
+    fn new(inbox: Receiver<String>, streams: Streams) -> Self {
+        Actor { inbox, streams, kept: Vec::new() }
+    }
+}
+
+/// A stream that remembers whether it was reset.
+struct Ear {
+    stream: TcpStream,
+    was_reset: bool,
+}
+
+impl Read for Ear {
+    fn read(&mut self, bytes: &mut [u8]) -> std::io::Result<usize> {
+        let read = self.stream.read(bytes);
+        self.was_reset |= read.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset);
+        read
+    }
+}
+
+type Input = BufReader<Ear>;
+
 pub fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
 }
 
+thread_local! {
+    static BASE_MS: u64 = now_ms();
+}
+
+/// An instant that is the same for the whole test: each has a thread of its own.
+fn base_ms() -> u64 {
+    BASE_MS.with(|ms| *ms)
+}
+
 // ---- stand-ins ----
 
 fn line(input: &mut impl BufRead) -> Option<String> {
@@ -96,14 +134,14 @@
             });
         }
     });
-    (Actor { inbox, streams }, address)
+    (Actor::new(inbox, streams), address)
 }
 
 /// A service that is down: nothing listens at its address, which is nobody else's meanwhile.
 pub fn down() -> (Actor, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.2:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
-    (Actor { inbox: channel().1, streams: Streams::default() }, address)
+    (Actor::new(channel().1, Streams::default()), address)
 }
 
 /// A line on the wire: after `|` comes a body, whose length is its last word.
@@ -135,15 +173,16 @@
             }
         }
     });
-    (Actor { inbox, streams: Streams::default() }, address)
+    (Actor::new(inbox, Streams::default()), address)
 }
 
 // ---- clients ----
 
-/// Starts a reader that puts what `read` makes of the stream into the inbox, and `closed` at its end.
-fn client(address: SocketAddr, read: fn(&mut BufReader<TcpStream>) -> Option<String>) -> Actor {
+/// Starts a reader that puts what `read` makes of the stream into the inbox, and `closed` or `reset` at its end.
+fn client(address: SocketAddr, read: fn(&mut Input) -> Option<String>) -> Actor {
     let stream = TcpStream::connect(address).expect("the program listens");
-    let mut input = BufReader::new(stream.try_clone().expect("cloned"));
+    let ear = Ear { stream: stream.try_clone().expect("cloned"), was_reset: false };
+    let mut input = BufReader::new(ear);
     let (sender, inbox) = channel();
     std::thread::spawn(move || {
         while let Some(text) = read(&mut input) {
@@ -151,9 +190,9 @@
                 return;
             }
         }
-        let _ = sender.send("closed".into());
+        let _ = sender.send(if input.get_ref().was_reset { "reset" } else { "closed" }.into());
     });
-    Actor { inbox, streams: Arc::new(Mutex::new(HashMap::from([(String::new(), stream)]))) }
+    Actor::new(inbox, Arc::new(Mutex::new(HashMap::from([(String::new(), stream)]))))
 }
 
 fn exact<const N: usize>(input: &mut impl Read) -> Option<[u8; N]> {
@@ -201,7 +240,7 @@
     })
 }
 
-fn rpc_message(input: &mut BufReader<TcpStream>) -> Option<String> {
+fn rpc_message(input: &mut Input) -> Option<String> {
     value(input)
 }
 
@@ -232,7 +271,11 @@
     for (name, value) in words.filter_map(|w| w.split_once('=')) {
         let value = match name {
             "rid" => format!("{value:0>16}"),
-            "t0" => (now_ms() as i64 + value.parse::<i64>().expect("an offset")).to_string(),
+            "t0" => match value.strip_prefix('b') {
+                Some(after) => base_ms() as i64 + after.parse::<i64>().expect("an offset"),
+                None => now_ms() as i64 + value.parse::<i64>().expect("an offset"),
+            }
+            .to_string(),
             _ => value.to_owned(),
         };
         fields.push((name.to_owned(), value));
@@ -261,7 +304,7 @@
 }
 
 /// One packet of the program as text: `status 200 Name=value ...`, `data ...`, `end 1`, `get N`, `cpong`.
-fn ajp_packet(input: &mut BufReader<TcpStream>) -> Option<String> {
+fn ajp_packet(input: &mut Input) -> Option<String> {
     let [a, b, high, low] = exact::<4>(input)?;
     assert_eq!([a, b], *b"AB", "the mark of a container's packet");
     let length = u16::from_be_bytes([high, low]);
@@ -358,8 +401,26 @@
     bytes
 }
 
+/// The bytes of what an actor sends.
+fn bytes(actor: &str, words: &str) -> Vec<u8> {
+    match (words.strip_prefix("hex="), &actor[..3]) {
+        (Some(hex), _) => (0..hex.len() / 2)
+            .map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).expect("hexadecimal"))
+            .collect(),
+        (_, "rpc") => rpc_request(words),
+        (_, "ajp") => ajp_request(words),
+        _ => wire_line(words),
+    }
+}
+
 // ---- the program ----
 
+/// Sends a signal to a process.
+fn signal(name: &str, pid: u32) {
+    let sent = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+    assert!(sent.is_ok_and(|status| status.success()), "no {name} to {pid}");
+}
+
 /// What a scenario may choose.
 pub struct Options {
     /// Callers close idle connections after that time; 0 for never.
@@ -376,6 +437,13 @@
     pub under: Vec<String>,
     /// Text of the settings that is replaced by other text.
     pub settings: Vec<(&'static str, &'static str)>,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Signals that come while it reads its configuration for the first time, and the name of the configuration that is
+    /// there when it reads it again.
+    pub early: Option<(&'static [&'static str], &'static str)>,
+    /// Has the address, until the program has said that it finds it in use.
+    pub blocked: Option<TcpListener>,
 }
 
 impl Default for Options {
@@ -388,6 +456,9 @@
             bare: false,
             under: Vec::new(),
             settings: Vec::new(),
+            listen: ([127, 0, 0, 1], 0).into(),
+            early: None,
+            blocked: None,
         }
     }
 }
@@ -435,7 +506,19 @@
 
     /// The same with a store that is made elsewhere, and these options.
     pub fn start_with(engine: Answer, store: (Actor, SocketAddr), options: Options) -> World {
-        let Options { idle_ms, memory_mb, name, edge: more, bare, under, settings: replaced } = options;
+        let Options {
+            idle_ms,
+            memory_mb,
+            name,
+            edge: more,
+            bare,
+            under,
+            settings: replaced,
+            listen,
+            early,
+            blocked,
+        } = options;
+        let listen = blocked.as_ref().map_or(listen, |other| other.local_addr().expect("bound"));
         let settings =
             replaced.iter().fold(SETTINGS.replace("IDLE", &idle_ms.to_string()), |text, (old, new)| {
                 assert!(text.contains(old), "no {old} in the settings");
@@ -458,14 +541,20 @@
         let (config, edge) = (folder.join("config.json"), folder.join("edge.toml"));
         let text = |engine, members, store| {
             format!(
-                r#"{{"name":"{name}","listen":"127.0.0.1:0","engine":"{engine}","members":"{members}",
+                r#"{{"name":"{name}","listen":"{listen}","engine":"{engine}","members":"{members}",
                 "store":"{store}","seed":"8c1f30d27a5be964","stop_ms":3000,
                 "limits":{{"cores":1,"memory_mb":{memory_mb},"sockets":256}},"settings":{settings}}}"#
             )
         };
-        std::fs::write(&config, text(engine, members, store)).expect("written");
-        let moved = text(engine2, members2, store2);
-        let configs = HashMap::from([("cut-off", moved[..moved.len() / 2].to_owned()), ("moved", moved)]);
+        let (first, moved) = (text(engine, members, store), text(engine2, members2, store2));
+        let cut_off = moved[..moved.len() / 2].to_owned();
+        let configs = HashMap::from([("first", first.clone()), ("cut-off", cut_off), ("moved", moved)]);
+        if early.is_some() {
+            // Whoever reads a pipe waits for what is written to it.
+            assert!(Command::new("mkfifo").arg(&config).status().is_ok_and(|status| status.success()));
+        } else {
+            std::fs::write(&config, &first).expect("written");
+        }
         let ajp = "[ajp]\nlisten = \"127.0.0.1:0\"\nsecret = \"s3\"\nmem_kb = 40.0\n";
         std::fs::write(&edge, format!("{ajp}{more}")).expect("written");
         let program = [under.as_slice(), &[env!("CARGO_BIN_EXE_pinepoint").to_owned()]].concat();
@@ -473,17 +562,26 @@
             .args(&program[1..])
             .args((!bare).then(|| [std::path::Path::new("--edge"), &edge]).into_iter().flatten())
             .env("RELAY_CONFIG", &config)
+            .env("PINEPOINT_TEST_CLOCK", folder.join("clock"))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
         let log = BufReader::new(child.stderr.take().expect("piped"));
+        if let Some((signals, then)) = early {
+            // Opened when the program has begun to read.
+            let mut pipe = std::fs::File::options().write(true).open(&config).expect("read by the program");
+            signals.iter().for_each(|name| signal(name, child.id()));
+            std::fs::remove_file(&config).expect("removed");
+            std::fs::write(&config, &configs[then]).expect("written");
+            pipe.write_all(first.as_bytes()).expect("written");
+        }
         let child = Arc::new(Mutex::new(child));
         let (sender, inbox) = channel();
         let (waiting, log_gate) = (child.clone(), Arc::new(Mutex::new(())));
         let gate = log_gate.clone();
         std::thread::spawn(move || read_log(log, &sender, &waiting, &gate));
-        actors.insert("node".into(), Actor { inbox, streams: Streams::default() });
-        let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
+        actors.insert("node".into(), Actor::new(inbox, Streams::default()));
+        let nowhere = listen;
         let mut world = World {
             actors,
             listen: nowhere,
@@ -496,6 +594,10 @@
             edge,
             folder: Folder(folder),
         };
+        if let Some(other) = blocked {
+            world.wait("node", "address-in-use *");
+            drop(other);
+        }
         let address = |text: String| text.rsplit_once('=').and_then(|(_, a)| a.parse().ok()).expect(&text);
         if !bare {
             world.ajp = address(world.wait("node", "ajp listen=*"));
@@ -545,22 +647,34 @@
             std::fs::write(&self.config, &self.configs[name]).expect("written");
             return;
         }
+        if let Some(ahead) = words.strip_prefix("clock=") {
+            std::fs::write(self.folder.0.join("clock"), ahead).expect("written");
+            // The program looks at it again after a millisecond, and its core looks around every 50 ms while it leaves:
+            // a program that was stopped finds all of it due in the instant in which it goes on.
+            std::thread::sleep(Duration::from_millis(60));
+            return;
+        }
         if actor == "node" {
-            let id = self.child.lock().expect("not poisoned").id().to_string();
-            let sent = Command::new("kill").args([&format!("-{words}"), &id]).status();
-            assert!(sent.is_ok_and(|status| status.success()));
+            signal(words, self.pid());
             return;
         }
-        let bytes = match (words.strip_prefix("hex="), &actor[..3]) {
-            (Some(hex), _) => (0..hex.len() / 2)
-                .map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).expect("hexadecimal"))
-                .collect(),
-            (_, "rpc") => rpc_request(words),
-            (_, "ajp") => ajp_request(words),
-            _ => wire_line(words),
+        let actor_of = self.actors.get_mut(actor).unwrap_or_else(|| panic!("no actor {actor}"));
+        if words == "rest" {
+            let rest = std::mem::take(&mut actor_of.kept);
+            return self.stream(actor, "").write_all(&rest).expect("sent");
+        }
+        let (cut, words) = match words.strip_prefix("cut=").and_then(|rest| rest.split_once(' ')) {
+            Some((n, words)) => (n.parse().ok(), words),
+            None => (None, words),
         };
+        let made = bytes(actor, words);
+        let mut whole = std::mem::take(&mut actor_of.kept);
+        whole.extend(made);
+        if let Some(n) = cut {
+            actor_of.kept = whole.split_off(n);
+        }
         let name = words.split(' ').next().unwrap_or_default();
-        self.stream(actor, name).write_all(&bytes).expect("sent");
+        self.stream(actor, name).write_all(&whole).expect("sent");
     }
 
     /// The connection on which this was named, or the latest.
@@ -597,6 +711,17 @@
                 "close" => {
                     let _ = self.stream(actor, words).shutdown(Shutdown::Both);
                 }
+                "shut" => {
+                    let _ = self.stream(actor, words).shutdown(Shutdown::Write);
+                }
+                "queue" => {
+                    let made = bytes(actor, words);
+                    self.actors.get_mut(actor).expect("made above").kept.extend(made);
+                }
+                "never" => {
+                    let came: Vec<String> = self.actors[actor].inbox.try_iter().collect();
+                    assert!(!came.iter().any(|text| matches(words, text)), "{}\n     in {came:?}", step.line);
+                }
                 _ => panic!("no verb {verb}"),
             }
         }
