Take signals from the first moment on, and wait for an address that is in use

Faults, confirmed by tests over loopback that fail without the change (tests/ends.rs, 'the start'; the configuration is a pipe, so that the signals come while the program reads it):

- Handlers were installed after configuration, log and bind (src/bin/pinepoint/main.rs, serve): a SIGHUP until then ended the process, a SIGTERM ended it with an error status. a_reload_during_the_start_* (2), the_notice_during_the_start_* (3): exit by the signal.
- An address that its last holder had not given up yet ended the start. an_address_that_is_in_use_is_waited_for.
- A signal that could not be read counted as the notice to leave (the last arm of the match); read, not seen.

Change: handlers come before anything else; what comes during the start is heeded after it, in its order, and a reload reads the file again. A bind waits up to 15 s of the 30 that a start has, and a notice to leave ends that wait. Signals that can't be read are told and waited for again.

Not mended: a signal before main() (dynamic linking, about 1 ms) still has its default action.

--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod view;
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -17,7 +18,7 @@
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use clap::{Parser, Subcommand};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 
 use pinepoint::node::core::{Core, Parts};
 use pinepoint::node::counters::Counters;
@@ -40,6 +41,11 @@
 const AJP_PART: usize = 4;
 /// Before the kill nothing is sent any more, ms.
 const KILL_MARGIN_MS: f64 = 20.0;
+/// How long an address that is in use is waited for, and between two tries, ms. The platform gives a start 30 s.
+const BIND_MS: f64 = 15_000.0;
+const BIND_AGAIN_MS: f64 = 20.0;
+/// Wait after signals that could not be read, ms.
+const SIGNAL_AGAIN_MS: f64 = 1000.0;
 /// Inputs that may wait for the core before fronts and links wait in turn.
 const QUEUE: usize = 4096;
 
@@ -150,9 +156,73 @@
     }
 }
 
-fn bind(what: &'static str, address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
-    let bound = Async::<TcpListener>::bind(address).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
-    bound.map(|(address, listener)| (listener, address)).map_err(|e| StartError::System(what, e))
+/// The signals, from before anything else is done: one that comes while its handler is not there ends the process, and
+/// takes what the program was about to do along. What comes during the start is taken when that is over, in its order.
+struct Signs {
+    signals: Signals,
+    /// Taken already, and not yet heeded.
+    early: VecDeque<Signal>,
+}
+
+impl Signs {
+    fn new() -> io::Result<Self> {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])?;
+        Ok(Signs { signals, early: VecDeque::new() })
+    }
+
+    async fn next(&mut self, clock: &Clock) -> Signal {
+        if let Some(signal) = self.early.pop_front() {
+            return signal;
+        }
+        loop {
+            match self.signals.next().await {
+                Some(Ok(signal)) => return signal,
+                // An error is no notice to leave.
+                Some(Err(error)) => tracing::warn!(%error, "signal-not-read"),
+                None => tracing::warn!("signals-ended"),
+            }
+            clock.pause(SIGNAL_AGAIN_MS).await;
+        }
+    }
+
+    /// Waits a moment for a notice to leave; tells whether it came. What else comes is kept.
+    async fn notice_within(&mut self, ms: f64, clock: &Clock) -> bool {
+        let signal = async { Some(self.signals.next().await) };
+        let late = async {
+            clock.pause(ms).await;
+            None
+        };
+        let Some(Some(Ok(signal))) = future::or(signal, late).await else { return false };
+        self.early.push_back(signal);
+        matches!(signal, Signal::Term | Signal::Int)
+    }
+}
+
+/// Opens a door. An address that is in use is waited for: the process that had it a moment ago is about to end, and a
+/// start that failed for it would be a comparer that is missing. Nothing there if the notice to leave came first.
+fn bind(
+    what: &'static str,
+    address: SocketAddr,
+    signs: &mut Signs,
+    clock: &Clock,
+) -> Result<Option<(Async<TcpListener>, SocketAddr)>, StartError> {
+    let until = clock.now() + BIND_MS;
+    let mut told = false;
+    loop {
+        let bound = Async::<TcpListener>::bind(address).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
+        match bound {
+            Ok((address, listener)) => return Ok(Some((listener, address))),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && clock.now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    tracing::warn!(what, %address, "address-in-use");
+                }
+                if async_io::block_on(signs.notice_within(BIND_AGAIN_MS, clock)) {
+                    return Ok(None);
+                }
+            }
+            Err(error) => return Err(StartError::System(what, error)),
+        }
+    }
 }
 
 fn main() -> ExitCode {
@@ -161,6 +231,7 @@
         Cli { command: Some(Command::Fleet { ask }), .. } => return view::run(&ask),
         Cli { command: Some(Command::Serve { edge }), .. } | Cli { command: None, edge } => edge,
     };
+    let signs = Signs::new().map_err(|e| StartError::System("signals", e));
     let read = read_edge(edge.as_deref());
     // What is wrong with the file is told in the ordinary form: the one that it chooses is not known.
     let log = read.as_ref().map_or_else(|_| pinepoint_log::Options::default(), |edge| edge.log.clone());
@@ -168,7 +239,7 @@
         eprintln!("pinepoint: {error}");
         return ExitCode::FAILURE;
     }
-    match read.and_then(|read| serve(configuration()?, read, edge)) {
+    match read.and_then(|read| serve(configuration()?, read, edge, signs?)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "not-started");
@@ -224,7 +295,7 @@
     }
 }
 
-fn serve(config: Config, edge: Edge, edge_file: Option<PathBuf>) -> Result<(), StartError> {
+fn serve(config: Config, edge: Edge, edge_file: Option<PathBuf>, mut signs: Signs) -> Result<(), StartError> {
     let reserved = (config.sockets / RESERVED_PART).clamp(RESERVED_LEAST, RESERVED_MOST);
     let connections = config.sockets.saturating_sub(reserved).max(1);
     let Config { name, site, seed, .. } = config;
@@ -237,9 +308,10 @@
     let engine = Rc::new(links::EngineLink::default());
     let parts = (peers.clone(), queue.clone(), clock.clone(), counters.clone(), executor.clone());
     let store = Rc::new(links::StoreLink::new(parts.0, parts.1, parts.2, parts.3, parts.4));
-    let (listener, address) = bind("listen", config.listen)?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
-        .map_err(|e| StartError::System("signals", e))?;
+    let Some((listener, address)) = bind("listen", config.listen, &mut signs, &clock)? else {
+        tracing::info!(name, "ended");
+        return Ok(());
+    };
     let setup = edge.setup();
     let telemetry = (!setup.is_off()).then(|| {
         let host = telemetry::Host {
@@ -301,7 +373,10 @@
         room: room.clone(),
     });
     if let Some(config::Ajp { listen, secret, mem_kb }) = edge.ajp {
-        let (listener, address) = bind("ajp", listen)?;
+        let Some((listener, address)) = bind("ajp", listen, &mut signs, &clock)? else {
+            tracing::info!(name, "ended");
+            return Ok(());
+        };
         tracing::info!(listen = %address, "ajp");
         let options = Rc::new(ajp::Options { secret, mem_kb: mem_kb.0, seed });
         let own = front.clone();
@@ -323,10 +398,10 @@
             (clock.clone(), counters.clone(), peers.clone(), status.clone());
         let telemetry = telemetry.clone();
         async move {
-            while let Some(signal) = signals.next().await {
-                match signal {
-                    Ok(Signal::Usr1) => counters.print(),
-                    Ok(Signal::Hup) => {
+            loop {
+                match signs.next(&clock).await {
+                    Signal::Usr1 => counters.print(),
+                    Signal::Hup => {
                         reload(&peers, telemetry.as_deref(), edge_file.as_deref());
                         status.report.wake();
                     }
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -4,6 +4,8 @@
 
 mod scenario;
 
+use std::net::TcpListener;
+
 use rstest::rstest;
 use scenario::{Options, World, idle_gauges, rpc_request};
 
@@ -407,3 +409,60 @@
          node wait exit 0"
     ));
 }
+
+// ---- the start ----
+
+fn early(signals: &'static [&'static str], then: &'static str) -> World {
+    start(Options { early: Some((signals, then)), ..Options::default() })
+}
+
+/// A reload that comes while the program reads its configuration is taken when it has: it may have read the old one.
+#[test]
+fn a_reload_during_the_start_is_taken_after_it() {
+    let mut world = early(&["HUP"], "moved");
+    world.run(
+        "node wait reloaded *
+         engine2 wait ATTACH 0
+         engine2 send HELLO hot 5000
+         members2 wait HB n1 UP
+         rpc send 1 look rid=a1|paper
+         engine2 expect RUN 00000000000000a1 look|paper
+         engine2 send DONE 1 00000000000000a1 complete 12|report
+         rpc expect [1 1 nil [report *",
+    );
+}
+
+#[test]
+fn a_reload_during_the_start_of_a_file_that_cannot_be_used_changes_nothing() {
+    let mut world = early(&["HUP", "USR1", "HUP"], "cut-off");
+    world.run("node wait reload-failed addresses=kept *");
+    world.run(UP);
+}
+
+#[rstest]
+#[case::alone(&["TERM"])]
+#[case::with_a_reload(&["HUP", "TERM"])]
+#[case::twice_and_with_all(&["USR1", "TERM", "HUP", "INT", "TERM"])]
+fn the_notice_during_the_start_ends_the_process_in_order(#[case] signals: &'static [&'static str]) {
+    let mut world = early(signals, "first");
+    world.run("node wait leaving *\nnode wait ended *\nnode wait exit 0\nmembers never HB n1 UP");
+}
+
+/// The process that had the address a moment ago is about to end: its successor waits for it.
+#[test]
+fn an_address_that_is_in_use_is_waited_for() {
+    let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut world = up(Options { blocked: Some(other), ..Options::default() });
+    world.run("rpc send 1 ping\nrpc expect [1 1 nil [true *");
+}
+
+/// Killed with connections open, it comes back at its address while the old ones still linger in the system.
+#[test]
+fn a_successor_starts_at_the_same_address_while_old_connections_linger() {
+    let mut world = up(Options::default());
+    let listen = world.listen;
+    world.run("rpc send 1 look rid=a1|paper\nengine expect RUN 00000000000000a1 look|paper");
+    world.run("node send KILL\nnode wait exit killed\nrpc wait closed");
+    let mut next = up(Options { listen, ..Options::default() });
+    next.run("rpc send 1 ping\nrpc expect [1 1 nil [true *");
+}
