Never tell a repeat of what ran that it never did, whatever else falls into its instant

Three ways, each now a test that fails without the change (tests/failures.rs): the timer of the same instant gives up what is past its due time (answer_due), or all that is held when a hang is seen, before arrivals are decided; and finds_place displaces one that stands behind in the same instant. All three took it for a first try that is held (src/brain.rs, State::Held before decide).

Ruled out: the core (its answers to repeats are 'served' or 'failed').

Change: what was read in the instant in hand and repeats what may have run is neither given up nor displaced before it is decided.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -223,7 +223,7 @@
     set: Settings,
     rng: Pcg64Mcg,
     entries: BTreeMap<u32, Entry>,
-    fresh: Vec<u32>,
+    fresh: VecDeque<u32>,
     keys: BTreeMap<u32, f64>,
     began_ms: f64,
     leave: Option<(f64, f64)>,
@@ -287,7 +287,7 @@
         Ok(Controller {
             rng: Pcg64Mcg::new(u128::from(seed)),
             entries: BTreeMap::new(),
-            fresh: Vec::new(),
+            fresh: VecDeque::new(),
             keys: BTreeMap::new(),
             began_ms: 0.0,
             leave: None,
@@ -403,8 +403,7 @@
             *rate = low_pass(*rate, *since / dt, dt, TENANT_FILTER_S);
             *since = 0.0;
         }
-        self.started_since = 0.0;
-        self.arrived_since = 0.0;
+        (self.started_since, self.arrived_since) = (0.0, 0.0);
         self.alpha = self.alpha_loop.step(self.busy + unread / UNREAD_FULL_MS - BUSY_SETPOINT, dt, 0.0, 1.0);
         let held = self.count(State::Held);
         let most = STARTS_MOST * cores / dt.max(0.001);
@@ -448,10 +447,9 @@
         self.intake_ms += (queued - self.intake_ms) * WORK_WEIGHT * 2.0;
         self.least_intake_ms *= INTAKE_DRIFT;
         let usable = self.work_ms(&request) / self.core_share < due_ms - now;
-        let dead = if queued > due_ms - now && !usable { 1.0 } else { 0.0 };
-        self.dead += (dead - self.dead) * WORK_WEIGHT;
+        self.dead += (f64::from(u8::from(queued > due_ms - now && !usable)) - self.dead) * WORK_WEIGHT;
         let id = request.id;
-        self.fresh.push(id);
+        self.fresh.push_back(id);
         let entry = Entry {
             request,
             state: State::Held,
@@ -470,7 +468,7 @@
     }
 
     fn settle(&mut self, now: f64, out: &mut Vec<Action>) {
-        for id in std::mem::take(&mut self.fresh) {
+        while let Some(id) = self.fresh.pop_front() {
             if self.entries.get(&id).is_some_and(|e| e.state == State::Held) {
                 self.decide(now, id, out);
             }
@@ -547,9 +545,16 @@
             return true;
         }
         let mine = self.score(&self.entries[&id], now);
-        let least = scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
-        let displaced = least.filter(|(score, _)| mine > score * (1.0 + ALIKE));
-        displaced.inspect(|(_, other)| self.refuse(*other, Refusal::Displaced, out)).is_some()
+        let least =
+            scored.into_iter().filter(|(_, other)| !self.may_repeat_a_run(*other, &self.entries[other]));
+        let least = least.min_by(|a, b| a.0.total_cmp(&b.0)).filter(|least| mine > least.0 * (1.0 + ALIKE));
+        least.inspect(|(_, other)| self.refuse(*other, Refusal::Displaced, out)).is_some()
+    }
+
+    /// Read in the instant in hand and not decided yet: nothing else may tell it that its request never ran.
+    fn may_repeat_a_run(&self, id: u32, entry: &Entry) -> bool {
+        let may_have_run = |f: u32| self.entries.get(&f).is_none_or(|e| e.state != State::Held);
+        self.fresh.contains(&id) && entry.request.repeats.is_some_and(may_have_run)
     }
 
     fn remember(&mut self, now: f64, id: u32, for_ms: f64, out: &mut Vec<Action>) {
@@ -949,9 +954,8 @@
         let kill = self.leave.map_or(f64::INFINITY, |(_, kill)| kill - DRAIN_MARGIN_MS);
         let late = now + self.period_ms();
         let slack = self.set.rules.answer_slack_ms * SLACK_PART;
-        let mut refused = Vec::new();
-        let mut failed = Vec::new();
-        for (id, entry) in &self.entries {
+        let (mut refused, mut failed) = (Vec::new(), Vec::new());
+        for (id, entry) in self.entries.iter().filter(|(id, e)| !self.may_repeat_a_run(**id, e)) {
             let over = || late >= entry.due_ms || late >= kill || self.hung || self.score(entry, now) <= 0.0;
             if entry.state == State::Held && entry.owed && over() {
                 refused.push(*id);
@@ -959,9 +963,7 @@
                 failed.push(*id);
             }
         }
-        for id in refused {
-            self.refuse(id, Refusal::GivenUp, out);
-        }
+        refused.into_iter().for_each(|id| self.refuse(id, Refusal::GivenUp, out));
         for id in failed {
             self.fail(id, if late >= kill { Failure::Stop } else { Failure::Late }, out);
             self.halt_useless(id, out);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -792,3 +792,63 @@
     assert!(!failed(&bench.log, 2) && !touched(2), "its caller is gone: nothing is owed, its effect goes on");
     assert!(refused(&bench.log, 3), "held, it never ran: a refusal says so, and another server may run it");
 }
+
+/// A keyed try that ran, and is over.
+fn with_a_keyed_run() -> Bench {
+    let mut bench = Bench::new(settings());
+    assert!(started(&bench.arrive(request(1, 1)), 1));
+    bench.tell(Event::Finished { id: 1, outcome: Outcome::Done });
+    bench
+}
+
+fn timer(gauges: [f64; 2]) -> Event {
+    Event::Timer { token: 0, gauges: gauges.to_vec() }
+}
+
+/// The timer answers what is past its due time; one that came in the same instant is not decided yet, and a repeat of what
+/// ran must not be told that it never did.
+#[test]
+fn a_repeat_that_comes_too_late_in_the_instant_of_a_timer_is_not_turned_away() {
+    let mut bench = with_a_keyed_run();
+    bench.pass(3500.0, 0.1, 0.0);
+    let late = Request { repeats: Some(1), queued_ms: 3400.0, ..request(2, 1) };
+    let out = bench.batch(vec![Event::Arrived(late), timer([0.1, 0.0])]);
+    assert!(!refused(&out, 2), "{out:?}");
+    assert!(out.contains(&Action::Reuse { id: 2 }), "{out:?}");
+}
+
+#[test]
+fn a_repeat_in_the_instant_in_which_a_hang_is_seen_is_not_turned_away() {
+    let mut bench = with_a_keyed_run();
+    bench.arrive(request(2, 0));
+    let said = |bench: &Bench| bench.log.iter().any(|a| matches!(a, Action::Health { good: false, .. }));
+    while !said(&bench) {
+        bench.pass(20.0, 0.5, 1.0);
+        assert!(bench.now < 5000.0, "nothing gets anywhere, and it is not seen");
+    }
+    let repeat = Request { repeats: Some(1), ..request(3, 1) };
+    let out = bench.batch(vec![Event::Arrived(repeat), timer([0.5, 1.0])]);
+    assert!(!refused(&out, 3), "{out:?}");
+    assert!(out.contains(&Action::Reuse { id: 3 }), "{out:?}");
+}
+
+/// Past the share that is refused, one worth more takes the place of one that is held: not of one of its own instant.
+#[test]
+fn a_repeat_is_not_displaced_by_one_that_came_in_the_same_instant() {
+    let mut bench = with_a_keyed_run();
+    for id in 10..80 {
+        bench.arrive(Request { due_ms: Some(bench.now + 60_000.0), ..request(id, 0) });
+        bench.pass(20.0, 1.0, 8.0);
+    }
+    let mut seen = false;
+    for id in (100..200).step_by(2) {
+        // The repeat is worth nothing any more, and stands behind one that is worth most.
+        let worthy = Request { hint_ms: Some(1.0), due_ms: Some(bench.now + 60_000.0), ..request(id, 1) };
+        let repeat = Request { repeats: Some(1), queued_ms: 2990.0, ..request(id + 1, 1) };
+        let out = bench.batch(vec![Event::Arrived(worthy), Event::Arrived(repeat)]);
+        assert!(!refused(&out, id + 1), "{out:?}");
+        seen |= out.iter().any(|a| matches!(a, Action::Refuse { why: Refusal::Displaced, .. }));
+        bench.pass(20.0, 1.0, 8.0);
+    }
+    assert!(seen, "the test is of no worth if nothing is displaced");
+}
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -12,21 +12,56 @@
 /// Room for a few runs and a dozen held requests.
 const MEMORY_KB: f64 = 600.0;
 
+/// A request that is read.
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    class: usize,
+    wait: f64,
+    queued: f64,
+    repeat: bool,
+}
+
 #[derive(Clone, Debug)]
 enum Step {
-    Arrive { class: usize, wait: f64, queued: f64, repeat: bool },
-    Finish { pick: usize, ok: bool },
-    Need { pick: usize },
-    CallEnd { pick: usize, outcome: usize },
-    Gone { pick: usize },
-    Pass { ms: f64, runnable: f64 },
+    Arrive(Read),
+    /// Several in one instant, with the next timer.
+    Instant(Vec<Read>, f64),
+    Finish {
+        pick: usize,
+        ok: bool,
+    },
+    Need {
+        pick: usize,
+    },
+    CallEnd {
+        pick: usize,
+        outcome: usize,
+    },
+    Gone {
+        pick: usize,
+    },
+    Pass {
+        ms: f64,
+        runnable: f64,
+    },
     Leave,
 }
 
+fn read() -> impl Strategy<Value = Read> {
+    let wait = prop_oneof![4 => 50.0..4000.0, 1 => -500.0..50.0];
+    (0..3usize, wait, 0.0..900.0, any::<bool>()).prop_map(|(class, wait, queued, repeat)| Read {
+        class,
+        wait,
+        queued,
+        repeat,
+    })
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        6 => (0..3usize, 50.0..4000.0, 0.0..900.0, any::<bool>())
-            .prop_map(|(class, wait, queued, repeat)| Step::Arrive { class, wait, queued, repeat }),
+        6 => read().prop_map(Step::Arrive),
+        3 => (proptest::collection::vec(read(), 1..5), 0.0..12.0)
+            .prop_map(|(reads, runnable)| Step::Instant(reads, runnable)),
         4 => (any::<usize>(), any::<bool>()).prop_map(|(pick, ok)| Step::Finish { pick, ok }),
         2 => any::<usize>().prop_map(|pick| Step::Need { pick }),
         2 => (any::<usize>(), 0..4usize).prop_map(|(pick, outcome)| Step::CallEnd { pick, outcome }),
@@ -41,6 +76,7 @@
 struct Known {
     due: f64,
     arrived: f64,
+    read: f64,
     effect: bool,
     without: bool,
     starts: u32,
@@ -62,6 +98,7 @@
 
 impl World {
     fn carry_out(&mut self, now: f64, actions: &[Action]) {
+        let ran: Vec<u32> = self.known.iter().filter(|(_, e)| e.starts > 0).map(|(id, _)| *id).collect();
         for action in actions {
             match *action {
                 Action::Start { id } => {
@@ -77,6 +114,8 @@
                     let entry = self.known.get_mut(&id).expect("only requests that arrived are answered");
                     let refusal = matches!(action, Action::Refuse { .. });
                     assert!(!refusal || entry.starts == 0, "request {id} ran and was turned away");
+                    let ran = entry.original.is_some_and(|first| ran.contains(&first));
+                    assert!(!refusal || !ran, "request {id} repeats what ran and was told that it never did");
                     assert!(!entry.over, "request {id} answered twice");
                     entry.answers += 1;
                     assert_eq!(entry.answers, 1);
@@ -112,10 +151,20 @@
         let overdue = self
             .known
             .iter()
-            .find(|(_, e)| !e.over && e.answers == 0 && !e.gone && e.due.max(e.arrived) + 60.0 + 25.0 < now);
+            .find(|(_, e)| !e.over && e.answers == 0 && !e.gone && e.due.max(e.read) + 60.0 + 25.0 < now);
         assert!(overdue.is_none(), "request {:?} has no answer at {now}", overdue.map(|(id, _)| id));
     }
 
+    fn arrive(&mut self, id: u32, now: f64, read: Read) -> Request {
+        let Read { class, wait, queued, repeat } = read;
+        let original = self.pick(id as usize, |e| repeat && class == 1 && e.effect);
+        let (due, arrived) = (now + wait, now - queued);
+        let (effect, without) = (class == 1, class == 2);
+        self.known
+            .insert(id, Known { due, arrived, read: now, effect, without, original, ..Known::default() });
+        Request { due_ms: Some(due), queued_ms: queued, repeats: original, ..request(id, class) }
+    }
+
     fn pick(&self, index: usize, wanted: impl Fn(&Known) -> bool) -> Option<u32> {
         let ids: Vec<u32> = self.known.iter().filter(|(_, e)| wanted(e)).map(|(id, _)| *id).collect();
         (!ids.is_empty()).then(|| ids[index % ids.len()])
@@ -131,27 +180,24 @@
     let mut next = 0;
     for step in steps {
         let out = match *step {
-            Step::Arrive { class, wait, queued, repeat } => {
+            Step::Arrive(read) => {
                 next += 1;
-                let original = world.pick(next as usize, |e| repeat && class == 1 && e.effect);
-                let (due, arrived) = (bench.now + wait, bench.now - queued);
-                let entry = Known {
-                    due,
-                    arrived,
-                    effect: class == 1,
-                    without: class == 2,
-                    original,
-                    ..Known::default()
-                };
-                world.known.insert(next, entry);
-                let new = Request {
-                    due_ms: Some(due),
-                    queued_ms: queued,
-                    repeats: original,
-                    ..request(next, class)
-                };
+                let new = world.arrive(next, bench.now, read);
                 bench.arrive(new)
             }
+            Step::Instant(ref reads, runnable) => {
+                let first = bench.timers.iter().map(|(at, _)| *at).enumerate();
+                let Some((at, due)) = first.min_by(|a, b| a.1.total_cmp(&b.1)) else { continue };
+                let (_, token) = bench.timers.remove(at);
+                bench.now = bench.now.max(due);
+                let mut events = Vec::new();
+                for read in reads {
+                    next += 1;
+                    events.push(Event::Arrived(world.arrive(next, bench.now, *read)));
+                }
+                events.push(Event::Timer { token, gauges: vec![0.5, runnable] });
+                bench.batch(events)
+            }
             Step::Finish { pick, ok } => {
                 let Some(id) = world.pick(pick, |e| e.running && !e.at_call && !e.calling) else { continue };
                 let entry = world.known.get_mut(&id).expect("picked");
