Refuse settings whose names or sizes cannot work, and try any others in a property test

Read: a class without a name, with a blank or a line end in it, or with the name of another was taken; the engine is told the name as one word of a line, and callers of the first of two alike reached the second (src/settings.rs, class_names). Figures up to 1.8e308 were taken, whose sums and products are no numbers. Confirmed with tests/settings.rs.

Change: names are one word and unlike each other; figures lie from 0 to 1e12. tests/settings.rs: 400 drawn settings (zeros, none, bounds, every kind of class, advice and halting) through the core in simulated time: ready, one answer a request, a wait between turns, gone at the end; and each wrong figure refused by its field's name. tests/wire.rs wants the new wording.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,16 +88,20 @@
     NoCores,
     /// No class of requests.
     NoClasses,
-    /// The named figure is negative, not a number, or infinite where it may not be.
+    /// The named figure is below 0 or above [`FIGURE_MOST`], or no number at all.
     Figure(&'static str),
 }
 
+/// Largest figure that settings may hold: as milliseconds over thirty years, as kilobytes a petabyte. Sums and products
+/// of what is larger stop being numbers.
+pub const FIGURE_MOST: f64 = 1e12;
+
 impl std::fmt::Display for SettingsError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             SettingsError::NoCores => f.write_str("a server needs at least one core"),
             SettingsError::NoClasses => f.write_str("at least one class of requests is needed"),
-            SettingsError::Figure(name) => write!(f, "{name} is negative or not a finite number"),
+            SettingsError::Figure(name) => write!(f, "{name} is not a number from 0 to {FIGURE_MOST:e}"),
         }
     }
 }
@@ -105,12 +109,12 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Tells whether the settings make sense. Only [`Settings::memory_kb`] may be infinite.
+    /// Tells whether the settings make sense. Only [`Settings::memory_kb`] may be infinite, for no limit.
     pub fn check(&self) -> Result<(), SettingsError> {
         let rules = &self.rules;
         let mut figures = vec![
             ("cores", self.cores),
-            ("memory_kb", self.memory_kb.min(f64::MAX)),
+            ("memory_kb", if self.memory_kb == f64::INFINITY { 0.0 } else { self.memory_kb }),
             ("run_factor", self.run_factor),
             ("key_kb", self.key_kb),
             ("tick_ms", self.tick_ms),
@@ -141,7 +145,7 @@
             ]);
         }
         figures.extend(self.tenants.iter().map(|t| ("tenant.allowance_per_s", t.allowance_per_s)));
-        let bad = figures.iter().find(|(_, value)| !value.is_finite() || *value < 0.0);
+        let bad = figures.iter().find(|(_, value)| !(0.0..=FIGURE_MOST).contains(value));
         match bad {
             Some((name, _)) => Err(SettingsError::Figure(name)),
             None if self.cores < 1.0 => Err(SettingsError::NoCores),
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -181,6 +181,11 @@
         self.parts.observer.turn(self.now_ms, turn);
     }
 
+    /// Where the process stands in its life.
+    pub fn phase(&self) -> Life {
+        self.life.phase()
+    }
+
     /// What the tables hold now, and what the module says of itself.
     pub fn state(&self) -> State {
         let mut state = State { open: vec![0; self.parts.site.settings.classes.len()], ..State::default() };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -100,7 +100,14 @@
         for (i, entry) in top.list("services")?.iter().enumerate() {
             let c = Section::from(entry, "services")?;
             let plain = Class::default();
-            class_names.insert(c.text("name")?.to_owned(), i);
+            // The engine is told the name as one word of a line, and callers name a class by it.
+            let name = c.text("name")?;
+            if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c.is_control()) {
+                return Err(bad("name", "one word"));
+            }
+            if class_names.insert(name.to_owned(), i).is_some() {
+                return Err(bad("name", "the name of one class only"));
+            }
             classes.push(Class {
                 aim_ms: c.num("promiseMs", plain.aim_ms)?,
                 deadline_ms: c.num("deadlineMs", plain.deadline_ms)?,
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -108,6 +108,7 @@
     pub now: f64,
     pub tickets: u64,
     pub notices: u64,
+    classes: usize,
 }
 
 impl Bench {
@@ -118,7 +119,6 @@
     /// With these limits of memory: of the process, MB, of which kept results get a part, and of requests, kB; room
     /// for many requests brings a share of calls.
     pub fn with_room(memory_mb: f64, memory_kb: f64) -> Self {
-        let seen = Rc::new(Seen::default());
         let mut site = Site {
             settings: pinepoint::Settings {
                 cores: 2.0,
@@ -139,10 +139,17 @@
         site.settings.gauges = vec![pinepoint::Gauge::BusyShare, pinepoint::Gauge::Runnable];
         site.settings.rules.answer_slack_ms = 100.0;
         site.settings.rules.drain_grace_ms = 1000.0;
+        Bench::with_site(site, memory_mb, 2000.0)
+    }
+
+    /// With a whole site, in a process that may take so much memory, MB, and is killed so long after the notice, ms.
+    pub fn with_site(site: Site, memory_mb: f64, stop_ms: f64) -> Self {
+        let seen = Rc::new(Seen::default());
+        let classes = site.settings.classes.len();
         let parts = Parts {
             site: Rc::new(site),
             seed: 5,
-            stop_ms: 2000.0,
+            stop_ms,
             memory_mb,
             clock: Clock::fixed(0.0),
             status: Rc::new(Status::default()),
@@ -152,7 +159,7 @@
             store: seen.clone(),
             doors: seen.clone(),
         };
-        Bench { core: Core::new(parts), seen, now: 1_000_000.0, tickets: 0, notices: 0 }
+        Bench { core: Core::new(parts), seen, now: 1_000_000.0, tickets: 0, notices: 0, classes }
     }
 
     pub fn tell(&mut self, input: Input) {
@@ -185,7 +192,10 @@
 
     pub fn pass(&mut self, ms: f64, busy: f64) {
         let until = self.now + ms;
+        let mut turns = 0;
         while let Some(due) = self.core.next_due().filter(|due| *due <= until) {
+            turns += 1;
+            assert!(f64::from(turns) < 1000.0 + ms, "{turns} turns in {ms} ms: it does not wait");
             self.now = self.now.max(due);
             self.core.settle(self.now);
             let tag = self.seen.asked.get();
@@ -239,7 +249,7 @@
 
     /// Per class: read, answered or expired, gone; and the numbers of requests with an end.
     pub fn sums(&self) -> Vec<[u64; 3]> {
-        let mut sums = vec![[0; 3]; 2];
+        let mut sums = vec![[0; 3]; self.classes];
         let mut ended = BTreeSet::new();
         for fact in self.seen.facts.borrow().iter() {
             let at = match fact.kind {
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -714,6 +714,10 @@
                 "shut" => {
                     let _ = self.stream(actor, words).shutdown(Shutdown::Write);
                 }
+                // Without words what was kept back is forgotten.
+                "queue" if words.is_empty() => {
+                    self.actors.get_mut(actor).expect("made above").kept.clear();
+                }
                 "queue" => {
                     let made = bytes(actor, words);
                     self.actors.get_mut(actor).expect("made above").kept.extend(made);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -55,7 +55,7 @@
     let weight = "\"signal\":\"weight\"";
     let cases = [
         (settings("\"cores\":2", "\"cores\":\"two\""), "Enlist: field cores is missing or not a number"),
-        (settings("\"heapKb\":9000.0", "\"heapKb\":-1"), "memory_kb is negative"),
+        (settings("\"heapKb\":9000.0", "\"heapKb\":-1"), "memory_kb is not a number from 0"),
         (settings("read_like", "sometimes"), "Enlist: field effect is missing or not a known kind"),
         (settings(weight, "\"signal\":\"smoke\""), "Enlist: field signal is missing or not a known kind"),
         (settings(weight, "\"signal\":3"), "Enlist: field signal is missing or not text"),
