Add the management port, figures by class, and a drain that operators begin and end

Change: a listener of its own (PING, INFO, LAMEDUCK, REJOIN) that reads counters in place and never waits for the core's queue; counters of each class, of which the sums of the node are made; two phases of the life, StartingDrained and Drained; pinepoint ask.

--- a/src/bin/pinepoint/config.rs
+++ b/src/bin/pinepoint/config.rs
@@ -67,6 +67,8 @@
     pub name: String,
     /// Where routers connect.
     pub listen: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub management: Option<SocketAddr>,
     /// The engine.
     pub engine: SocketAddr,
     /// The membership service.
@@ -89,6 +91,7 @@
 struct Raw {
     name: String,
     listen: SocketAddr,
+    management: Option<SocketAddr>,
     engine: SocketAddr,
     members: SocketAddr,
     store: SocketAddr,
@@ -140,6 +143,7 @@
         Ok(Config {
             name: raw.name,
             listen: raw.listen,
+            management: raw.management,
             engine: raw.engine,
             members: raw.members,
             store: raw.store,
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod ask;
 mod config;
 mod view;
 
@@ -21,8 +22,9 @@
 use futures_lite::{StreamExt, future};
 
 use pinepoint::node::core::{Core, Parts};
-use pinepoint::node::counters::Counters;
+use pinepoint::node::counters::{Counters, count};
 use pinepoint::node::listen::{self, Door, Front, Room};
+use pinepoint::node::management::{self, Management};
 use pinepoint::node::status::Status;
 use pinepoint::node::{ajp, fleet, links, rpc, telemetry};
 use pinepoint_clock::Clock;
@@ -80,6 +82,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask a running comparer at its management port
+    Ask {
+        /// What to ask
+        #[arg(ignore_case = true)]
+        call: ask::Call,
+        /// Its management address
+        #[arg(long, value_name = "ADDRESS", env = MANAGEMENT)]
+        at: std::net::SocketAddr,
+    },
     /// Ask a running comparer what it knows of its fleet
     Fleet {
         #[command(subcommand)]
@@ -95,6 +106,8 @@
 enum StartError {
     /// The environment does not name a configuration.
     NoConfig,
+    /// The environment names a management address that is none.
+    Management(String),
     /// A file cannot be used.
     File(FileError),
     /// The system does not give what is needed.
@@ -105,6 +118,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StartError::NoConfig => f.write_str("RELAY_CONFIG is not set: it has to name the configuration"),
+            StartError::Management(text) => {
+                write!(f, "{MANAGEMENT} is {text:?}: it has to be an address and a port, as 127.0.0.1:9800")
+            }
             StartError::File(error) => error.fmt(f),
             StartError::System(what, error) => write!(f, "{what}: {error}"),
         }
@@ -119,11 +135,22 @@
     }
 }
 
+/// Names the management address, before the configuration does.
+const MANAGEMENT: &str = "RELAY_MANAGEMENT";
+
 /// The platform's file, if the environment names one.
 fn named_config() -> Option<PathBuf> {
     std::env::var_os("RELAY_CONFIG").map(PathBuf::from)
 }
 
+/// Where operators connect: the environment goes before the configuration. Without either nothing listens.
+fn management_address(config: &Config) -> Result<Option<SocketAddr>, StartError> {
+    match std::env::var(MANAGEMENT) {
+        Ok(text) => text.parse().map(Some).map_err(|_| StartError::Management(text)),
+        Err(_) => Ok(config.management),
+    }
+}
+
 fn configuration() -> Result<Config, StartError> {
     Ok(Config::read(&named_config().ok_or(StartError::NoConfig)?)?)
 }
@@ -135,13 +162,17 @@
 /// Moves the links to where the configuration says now, and telemetry to the receivers of the edge file. A file that
 /// cannot be used changes nothing: it may be half written, and a program that ends or loses its links on SIGHUP loses
 /// every request it holds.
-fn reload(peers: &links::Peers, telemetry: Option<&Telemetry>, edge: Option<&Path>) {
+fn reload(peers: &links::Peers, counters: &Counters, telemetry: Option<&Telemetry>, edge: Option<&Path>) {
     match configuration() {
         Ok(Config { engine, store, members, .. }) => {
+            count(&counters.reloads);
             peers.set(engine, store, members);
             tracing::info!(%engine, %store, %members, "reloaded");
         }
-        Err(error) => tracing::error!(addresses = "kept", %error, "reload-failed"),
+        Err(error) => {
+            count(&counters.reloads_failed);
+            tracing::error!(addresses = "kept", %error, "reload-failed");
+        }
     }
     let Some(telemetry) = telemetry else { return };
     match read_edge(edge) {
@@ -228,6 +259,7 @@
 fn main() -> ExitCode {
     let edge = match Cli::parse() {
         Cli { command: Some(Command::Check { edge, config, json }), .. } => return check(edge, config, json),
+        Cli { command: Some(Command::Ask { call, at }), .. } => return ask::run(call, at),
         Cli { command: Some(Command::Fleet { ask }), .. } => return view::run(&ask),
         Cli { command: Some(Command::Serve { edge }), .. } | Cli { command: None, edge } => edge,
     };
@@ -244,7 +276,9 @@
         Err(error) => {
             tracing::error!(%error, "not-started");
             match error {
-                StartError::NoConfig | StartError::File(_) => ExitCode::from(UNUSABLE),
+                StartError::NoConfig | StartError::Management(_) | StartError::File(_) => {
+                    ExitCode::from(UNUSABLE)
+                }
                 StartError::System(..) => ExitCode::FAILURE,
             }
         }
@@ -296,7 +330,9 @@
 }
 
 fn serve(config: Config, edge: Edge, edge_file: Option<PathBuf>, mut signs: Signs) -> Result<(), StartError> {
+    let management_address = management_address(&config)?;
     let reserved = (config.sockets / RESERVED_PART).clamp(RESERVED_LEAST, RESERVED_MOST);
+    let reserved = reserved + management_address.map_or(0, |_| 1 + management::CONNECTIONS_MOST);
     let connections = config.sockets.saturating_sub(reserved).max(1);
     let Config { name, site, seed, .. } = config;
     let clock = Clock::system();
@@ -312,6 +348,20 @@
         tracing::info!(name, "ended");
         return Ok(());
     };
+    if let Some(address) = management_address {
+        let Some((listener, address)) = bind("management", address, &mut signs, &clock)? else {
+            tracing::info!(name, "ended");
+            return Ok(());
+        };
+        tracing::info!(listen = %address, "management");
+        let management = Management {
+            site: site.clone(),
+            status: status.clone(),
+            counters: counters.clone(),
+            clock: clock.clone(),
+        };
+        executor.spawn(management::listen(listener, Rc::new(management), executor.clone())).detach();
+    }
     let setup = edge.setup();
     let telemetry = (!setup.is_off()).then(|| {
         let host = telemetry::Host {
@@ -402,7 +452,7 @@
                 match signs.next(&clock).await {
                     Signal::Usr1 => counters.print(),
                     Signal::Hup => {
-                        reload(&peers, telemetry.as_deref(), edge_file.as_deref());
+                        reload(&peers, &counters, telemetry.as_deref(), edge_file.as_deref());
                         status.report.wake();
                     }
                     _ => {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -149,6 +149,9 @@
             if let Some(at_ms) = status.notice_ms.take() {
                 self.leave(now, at_ms);
             }
+            if let Some(drained) = status.drain.take() {
+                self.set_drained(now, drained);
+            }
             first.into_iter().for_each(|input| self.take(now, input));
             while let Ok(input) = queue.try_recv() {
                 self.take(now, input);
@@ -288,7 +291,7 @@
     }
 
     fn arrived(&mut self, now: f64, arrival: Arrival) {
-        count(&self.parts.counters.requests);
+        self.parts.counters.count_class(arrival.class, |class| &class.requests);
         let class = &self.parts.site.settings.classes[arrival.class];
         let name = match class.effect {
             Effect::Keyed => arrival.token.clone(),
@@ -390,16 +393,16 @@
     /// Answers a request that the module does not get to see.
     fn turn_back(&self, now: f64, arrival: &Arrival, reply: &Reply) {
         self.note(0, arrival.class, read_kind(now, arrival));
-        self.count_answer(reply);
+        self.count_answer(arrival.class, reply);
         self.note(0, arrival.class, answer_kind(reply, false, false, arrival.est_ms, now - arrival.t0));
         arrival.caller.answer(arrival.ticket, reply);
     }
 
-    fn count_answer(&self, reply: &Reply) {
-        count(match reply {
-            Reply::Served(_) => &self.parts.counters.served,
-            Reply::Refused { .. } => &self.parts.counters.refused,
-            Reply::Failed { .. } => &self.parts.counters.failed,
+    fn count_answer(&self, class: usize, reply: &Reply) {
+        self.parts.counters.count_class(class, |class| match reply {
+            Reply::Served(_) => &class.served,
+            Reply::Refused { .. } => &class.refused,
+            Reply::Failed { .. } => &class.failed,
         });
     }
 
@@ -407,9 +410,10 @@
         if self.requests.release(id).is_none() {
             return;
         }
-        count(&self.parts.counters.gone);
         self.note_of(id, |open| Kind::Gone { took_ms: now - open.t0 });
-        let Some(phase) = self.requests.get(id).map(|open| open.phase) else { return };
+        let Some(open) = self.requests.get(id) else { return };
+        let phase = open.phase;
+        self.parts.counters.count_class(open.class, |class| &class.gone);
         self.tell(now, Event::CallerGone { id });
         match phase {
             Phase::Held | Phase::Waiting => self.forget_request(id),
@@ -608,9 +612,18 @@
         }
     }
 
+    /// An operator's wish for a drain, or for its end.
+    pub fn set_drained(&mut self, now: f64, drained: bool) {
+        self.now_ms = now;
+        let done = self.life.set_drained(drained);
+        tracing::info!(drained, done, phase = ?self.life.phase(), "drain");
+        self.publish();
+    }
+
     /// Tells outside what follows from where the process stands.
     fn publish(&self) {
         let (published, status) = (self.life.published(), &self.parts.status);
+        status.phase.set(self.life.phase());
         status.healthy.set(published.healthy);
         if status.listed.replace(published.listed) != published.listed {
             status.report.wake();
@@ -640,8 +653,14 @@
                     }
                     self.parts.status.finishing.open();
                 }
-                Life::Starting | Life::Serving | Life::Leaving | Life::Gone => {}
+                Life::Starting
+                | Life::StartingDrained
+                | Life::Serving
+                | Life::Drained
+                | Life::Leaving
+                | Life::Gone => {}
             }
+            self.parts.status.phase.set(phase);
         }
     }
 
@@ -651,7 +670,7 @@
     pub fn next_due(&self) -> Option<f64> {
         let timers = self.timers.iter().map(|(at, _)| *at);
         let asked = self.asked.iter().map(|asked| asked.give_up_ms);
-        let idle = self.requests.is_empty() && self.life.phase() <= Life::Serving;
+        let idle = self.requests.is_empty() && self.life.phase() < Life::Leaving;
         let watch = (!idle).then_some(self.watched_ms + WATCH_MS);
         timers.chain(asked).chain(watch).chain(self.life.next_due()).min_by(f64::total_cmp)
     }
@@ -811,7 +830,7 @@
         open.phase = Phase::Running;
         open.began_ms = now;
         open.commanded = self.asks;
-        count(&self.parts.counters.runs);
+        self.parts.counters.count_class(open.class, |class| &class.runs);
         if self.engine_up && self.barrier.is_none() {
             self.parts.engine.run(&open.rid, class_name(&self.parts.site, open.class), &open.body);
         }
@@ -851,7 +870,7 @@
         let Some(caller) = self.requests.release(id) else { return };
         let Some(open) = self.requests.get(id) else { return };
         let ticket = open.ticket;
-        self.count_answer(&reply);
+        self.count_answer(open.class, &reply);
         let took_ms = self.now_ms - open.t0;
         self.note(id, open.class, answer_kind(&reply, reused, open.poorer, open.hint_ms, took_ms));
         caller.answer(ticket, &reply);
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -16,13 +16,18 @@
 /// has answered. It lives on only until the kill comes.
 const WRITE_LEAST_MS: f64 = 100.0;
 
-/// Where the process stands. The order is that of its life; none comes back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// Where the process stands. The order is that of its life; none comes back, but for a drain that operators end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// The engine is not up yet: nothing runs, and nobody is told that it would.
+    #[default]
     Starting,
+    /// The same, and an operator asked for a drain.
+    StartingDrained,
     /// Work is taken.
     Serving,
+    /// An operator asked for a drain: health checks fail, and what still comes is served.
+    Drained,
     /// The notice to leave has come. What still comes is served.
     Leaving,
     /// Callers are told to go.
@@ -38,10 +43,14 @@
 impl Phase {
     /// Whether the one may follow on the other.
     pub fn may_become(self, next: Phase) -> bool {
-        use Phase::{Closing, Finishing, Gone, Leaving, Serving, Starting, ToldToGo};
+        use Phase::{
+            Closing, Drained, Finishing, Gone, Leaving, Serving, Starting, StartingDrained, ToldToGo,
+        };
         match self {
-            Starting => matches!(next, Serving | Closing),
-            Serving => next == Leaving,
+            Starting => matches!(next, StartingDrained | Serving | Closing),
+            StartingDrained => matches!(next, Starting | Drained | Closing),
+            Serving => matches!(next, Drained | Leaving),
+            Drained => matches!(next, Serving | Leaving),
             Leaving => next == ToldToGo,
             ToldToGo => next == Closing,
             Closing => matches!(next, Finishing | Gone),
@@ -123,15 +132,32 @@
     /// The engine is up. Tells whether the process begins to serve by that: not if it serves already, nor if it was told
     /// to leave before, as all that it would take would have to go in a moment.
     pub fn engine_up(&mut self) -> bool {
-        self.become_(Phase::Serving)
+        match self.phase {
+            Phase::Starting => self.become_(Phase::Serving),
+            Phase::StartingDrained => self.become_(Phase::Drained),
+            _ => false,
+        }
+    }
+
+    /// An operator's wish for a drain, or for its end. Tells whether the process is in that state now: a wish for the
+    /// state that it is in changes nothing, and one that leaves can't be taken into service again.
+    pub fn set_drained(&mut self, drained: bool) -> bool {
+        match (self.phase, drained) {
+            (Phase::Starting, true) => self.become_(Phase::StartingDrained),
+            (Phase::Serving, true) => self.become_(Phase::Drained),
+            (Phase::StartingDrained, false) => self.become_(Phase::Starting),
+            (Phase::Drained, false) => self.become_(Phase::Serving),
+            (phase, true) => phase != Phase::Gone,
+            (phase, false) => phase < Phase::Leaving,
+        }
     }
 
     /// The notice to leave, with the time at which it came: the grace and the kill count from there, however late it is
     /// taken. Tells whether it is the first. One that never served has nobody to wait for.
     pub fn notice(&mut self, at_ms: f64) -> bool {
         let first = match self.phase {
-            Phase::Starting => self.become_(Phase::Closing),
-            Phase::Serving => self.become_(Phase::Leaving),
+            Phase::Starting | Phase::StartingDrained => self.become_(Phase::Closing),
+            Phase::Serving | Phase::Drained => self.become_(Phase::Leaving),
             _ => false,
         };
         if first {
@@ -148,7 +174,7 @@
     /// What follows from where the process stands; no event sets it past that.
     pub fn published(&self) -> Published {
         match self.phase {
-            Phase::Starting => Published { healthy: false, listed: None },
+            Phase::Starting | Phase::StartingDrained => Published { healthy: false, listed: None },
             Phase::Serving => {
                 Published { healthy: self.healthy, listed: Some(self.healthy || !self.listed_by_health) }
             }
@@ -170,7 +196,7 @@
             Phase::ToldToGo => Some(since + grace_ms.min(stop_ms * CLOSE_STOP_PART)),
             Phase::Closing => Some(since + (stop_ms - LAST_ANSWERS_MS).max(stop_ms * CLOSE_STOP_PART)),
             Phase::Finishing => Some((since + stop_ms - EXIT_MS).max(self.finishing_ms + WRITE_LEAST_MS)),
-            Phase::Starting | Phase::Serving | Phase::Gone => None,
+            Phase::Starting | Phase::StartingDrained | Phase::Serving | Phase::Drained | Phase::Gone => None,
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! - [`core`] owns the decision module; [`requests`] and [`keys`] are its tables, [`port`] its ports.
 //! - [`rpc`] and [`ajp`] are the fronts, [`listen`] what they share.
 //! - [`links`] are the connections to engine, store and membership service.
+//! - [`management`] is the operators' port: [`counters`] and the drain.
 //! - [`fleet`] tells others what this comparer is and does.
 //! - [`telemetry`] is what counts are brought out by, beside the [`counters`]; [`status`] is what the core publishes.
 
@@ -15,6 +16,7 @@
 pub mod lifecycle;
 pub mod links;
 pub mod listen;
+pub mod management;
 pub mod outbox;
 pub mod port;
 pub mod requests;
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use super::lifecycle::Phase;
 use super::sync::{Gate, Signal};
 
 /// What the core publishes for the fronts and the membership report to read.
@@ -13,8 +14,12 @@
     pub hint: Cell<Option<f64>>,
     /// When the notice to leave came, Unix ms. It does not stand in line behind what else reaches the core.
     pub notice_ms: Cell<Option<f64>>,
-    /// Wakes the core to look at it.
+    /// What an operator asked for last, and the core has not looked at: a drain, or its end.
+    pub drain: Cell<Option<bool>>,
+    /// Wakes the core to look at either.
     pub notice: Signal,
+    /// Where the process stands in its life.
+    pub phase: Cell<Phase>,
     /// What the membership service is told: nothing before the engine is up, then whether work is taken.
     pub listed: Cell<Option<bool>>,
     /// Wakes the membership report.
