Measure upgrades under load with pinepoint-lab operation, on stand-ins of its own

Upgrades and the management port need a harness that outlives single processes: a deployment with a stable listen address, list service, store and temporary directory, an engine for each process that records every run, clients that account for each request, and a caller of the management port. The sub-command runs upgrades under load and reports requests that ended without an answer, time until ready and answer times; it has not run against a program with the features yet.

--- a/crates/pinepoint-lab/src/lib.rs
+++ b/crates/pinepoint-lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod listen;
 pub mod load;
 pub mod machine;
+pub mod operation;
 pub mod process;
 pub mod rig;
 pub mod routers;
--- a/crates/pinepoint-lab/src/main.rs
+++ b/crates/pinepoint-lab/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use pinepoint_lab::{fleet, process, telemetry};
+use pinepoint_lab::{fleet, operation, process, telemetry};
 
 /// Experiments on pinepoint with stand-ins that fail on command; loopback addresses only
 #[derive(Parser)]
@@ -70,6 +70,18 @@
         #[arg(long)]
         cpu: Option<usize>,
     },
+    /// Upgrades under load, and the answer times of the management port; prints JSON, one line each
+    Operation {
+        /// The program
+        #[arg(long, default_value = "target/release/pinepoint")]
+        program: PathBuf,
+        /// Upgrades, one after the other
+        #[arg(long, default_value_t = 20)]
+        upgrades: usize,
+        /// Clients that send all the time
+        #[arg(long, default_value_t = 8)]
+        clients: usize,
+    },
 }
 
 fn main() -> ExitCode {
@@ -95,6 +107,11 @@
             let options = fleet::Options { program, length, turns, peers, part, cpu };
             ended(on(cpu, || fleet::measure(&options)).map(|report| println!("{report:#}")))
         }
+        Command::Operation { program, upgrades, clients } => {
+            let options = operation::Options { program, upgrades, clients };
+            let mut tell = |line: &serde_json::Value| println!("{line}");
+            ended(operation::measure(&options, &mut tell).map(|summary| println!("{summary}")))
+        }
     }
 }
 
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation.rs
@@ -0,0 +1,161 @@
+//! The program in operation: real processes that are upgraded and managed, with stand-ins for what is around them, and
+//! the measurement of upgrades under load. Loopback only.
+
+pub mod client;
+pub mod deployment;
+pub mod engine;
+pub mod load;
+pub mod management;
+pub mod services;
+
+use std::io;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use deployment::{Deployment, Process, Setup, Signal};
+use engine::{Engine, Finish};
+use load::{Load, Plan, Tally};
+
+/// Time that a run takes on the engine.
+const RUN_TIME: Duration = Duration::from_millis(5);
+/// A new process that does not take over in this time does not.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+/// Load before, between and after the steps of an upgrade.
+const SETTLE: Duration = Duration::from_millis(300);
+/// Requests to the management port of each kind, idle and at full load.
+const ASKS: usize = 300;
+/// Commands whose answer time is measured.
+const COMMANDS: [&str; 2] = ["PING", "INFO"];
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program.
+    pub program: PathBuf,
+    /// Upgrades, one after the other.
+    pub upgrades: usize,
+    /// Clients that send all the time.
+    pub clients: usize,
+}
+
+/// What one upgrade did.
+#[derive(Clone, Copy, Debug)]
+struct Upgrade {
+    /// From the start of the new process until it said that it serves.
+    ready: Duration,
+    /// From SIGTERM to the end of the old process; nothing if it had to be killed.
+    exit: Option<Duration>,
+    tally: Tally,
+}
+
+impl Upgrade {
+    fn report(&self, number: usize) -> Value {
+        json!({
+            "upgrade": number,
+            "ready_ms": self.ready.as_millis() as u64,
+            "exit_ms": self.exit.map(|exit| exit.as_millis() as u64),
+            "sent": self.tally.sent,
+            "served": self.tally.served,
+            "busy": self.tally.busy,
+            "failed": self.tally.failed,
+            "lost": self.tally.lost,
+            "late": self.tally.late,
+            "refused_connections": self.tally.refused_connections,
+            "ended_unannounced": self.tally.ended_unannounced,
+        })
+    }
+}
+
+/// Measures, tells each upgrade as it ends, and returns the summary.
+pub fn measure(options: &Options, tell: &mut dyn FnMut(&Value)) -> io::Result<Value> {
+    let deployment = Deployment::new(Setup::new(&options.program))?;
+    let mut current = start(&deployment)?;
+    current.await_ready(READY_LIMIT)?;
+    let idle = answer_times(&current)?;
+    let full_load = Load::start(plan(&deployment, options.clients, Duration::ZERO));
+    let loaded = answer_times(&current)?;
+    full_load.stop()?;
+
+    let since = Instant::now();
+    let mut upgrades = Vec::new();
+    for number in 1..=options.upgrades {
+        let (upgrade, next) = upgrade(&deployment, current, options.clients)?;
+        current = next;
+        tell(&upgrade.report(number));
+        upgrades.push(upgrade);
+    }
+    let out_reports = deployment.list.reports_since(since).iter().filter(|report| !report.up).count();
+    Ok(summary(&upgrades, out_reports, &idle, &loaded))
+}
+
+fn start(deployment: &Deployment) -> io::Result<Process> {
+    deployment.start(Engine::start(Finish::After(RUN_TIME))?)
+}
+
+fn plan(deployment: &Deployment, clients: usize, pause: Duration) -> Plan {
+    Plan { address: deployment.listen, clients, depth: 4, pause, reconnect: false }
+}
+
+/// One upgrade under load; returns what it did and the process that serves now.
+fn upgrade(deployment: &Deployment, mut old: Process, clients: usize) -> io::Result<(Upgrade, Process)> {
+    let load = Load::start(plan(deployment, clients, Duration::from_millis(5)));
+    std::thread::sleep(SETTLE);
+    let began = Instant::now();
+    let new = start(deployment)?;
+    new.await_ready(READY_LIMIT)?;
+    let ready = began.elapsed();
+    std::thread::sleep(SETTLE);
+    let told = Instant::now();
+    old.signal(Signal::TERM)?;
+    let exit = old.wait_exit(deployment.stop())?.map(|_| told.elapsed());
+    drop(old);
+    std::thread::sleep(SETTLE);
+    Ok((Upgrade { ready, exit, tally: load.stop()? }, new))
+}
+
+/// Times of the answers to each command, us, in the order of [`COMMANDS`].
+fn answer_times(process: &Process) -> io::Result<Vec<Histogram<u64>>> {
+    let times = |command: &&str| {
+        let mut times = Histogram::new(3).map_err(io::Error::other)?;
+        for _ in 0..ASKS {
+            let answer = process.ask(command)?;
+            if !answer.is_ok() {
+                return Err(io::Error::other(format!("{command}: {}", answer.head())));
+            }
+            times.saturating_record(answer.took.as_micros() as u64);
+        }
+        Ok(times)
+    };
+    COMMANDS.iter().map(times).collect()
+}
+
+fn summary(
+    upgrades: &[Upgrade],
+    out_reports: usize,
+    idle: &[Histogram<u64>],
+    loaded: &[Histogram<u64>],
+) -> Value {
+    let mut ready: Vec<u64> = upgrades.iter().map(|upgrade| upgrade.ready.as_millis() as u64).collect();
+    ready.sort_unstable();
+    let quantile = |part: f64| ready.get(((ready.len() as f64 * part).ceil() as usize).saturating_sub(1));
+    let mut total = Tally::default();
+    upgrades.iter().for_each(|upgrade| total += upgrade.tally);
+    let exit = upgrades.iter().filter_map(|upgrade| upgrade.exit).max();
+    let p99 = |times: &[Histogram<u64>], at: usize| times[at].value_at_quantile(0.99) as f64 / 1000.0;
+    json!({
+        "upgrades": upgrades.len(),
+        "requests": total.sent,
+        "failed": total.failed,
+        "ended_without_answer": total.ended_without_answer(),
+        "ended_without_answer_per_upgrade": total.ended_without_answer() as f64 / upgrades.len().max(1) as f64,
+        "old_processes_killed": upgrades.iter().filter(|upgrade| upgrade.exit.is_none()).count(),
+        "reports_out": out_reports,
+        "ready_ms": {"p50": quantile(0.5), "p90": quantile(0.9), "max": ready.last()},
+        "exit_ms_max": exit.map(|exit| exit.as_millis() as u64),
+        "ping_p99_ms": {"idle": p99(idle, 0), "full_load": p99(loaded, 0)},
+        "info_p99_ms": {"idle": p99(idle, 1), "full_load": p99(loaded, 1)},
+    })
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation/client.rs
@@ -0,0 +1,296 @@
+//! One MessagePack-RPC connection of a client: requests out, replies by id, the notice to go, and how it ended.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rmpv::Value;
+
+use crate::load::unix_ms;
+
+/// Class of requests that only read.
+pub const READ_CLASS: &str = "look";
+/// Class of requests that read and call the store; their bodies begin with [`super::engine::CALL_PREFIX`].
+pub const CALLING_CLASS: &str = "lookup";
+/// Class of requests with an effect, which carry a key.
+pub const KEYED_CLASS: &str = "write";
+
+/// A reply that does not come in this time does not come: longer than any deadline.
+pub const REPLY_LIMIT: Duration = Duration::from_secs(8);
+/// How long a connection is waited for.
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Names of tries, unique in this process.
+static TRIES: AtomicU64 = AtomicU64::new(1);
+
+/// A request; each time it is sent is a try with a name of its own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Its class.
+    pub class: &'static str,
+    /// The key, in the keyed class.
+    pub token: Option<String>,
+    /// The body.
+    pub body: String,
+    /// When it reached the machine, Unix ms.
+    pub t0: u128,
+    /// The work that its hint tells, ms.
+    pub work_ms: u32,
+}
+
+impl Request {
+    /// One that only reads, from now.
+    pub fn read(body: &str) -> Request {
+        Request { class: READ_CLASS, token: None, body: body.to_owned(), t0: unix_ms(), work_ms: 5 }
+    }
+
+    /// One that calls the store, from now.
+    pub fn calling(body: &str) -> Request {
+        Request { class: CALLING_CLASS, ..Request::read(&format!("{}{body}", super::engine::CALL_PREFIX)) }
+    }
+
+    /// One with an effect, whose body is its key, from now. A repeat is the same again with a later `t0`.
+    pub fn keyed(token: &str) -> Request {
+        Request { class: KEYED_CLASS, token: Some(token.to_owned()), ..Request::read(token) }
+    }
+
+    fn message(&self, id: u64) -> io::Result<Vec<u8>> {
+        let rid = u64::from(std::process::id()) << 40 | TRIES.fetch_add(1, Ordering::Relaxed);
+        let mut fields = vec![
+            ("rid", format!("{rid:016x}")),
+            ("t0", self.t0.to_string()),
+            ("est", self.work_ms.to_string()),
+            ("mem", "40".to_owned()),
+        ];
+        fields.extend(self.token.clone().map(|token| ("token", token)));
+        let fields = fields.into_iter().map(|(name, value)| (name.into(), value.into())).collect();
+        let params = vec![Value::Map(fields), Value::Binary(self.body.clone().into_bytes())];
+        encode(vec![0.into(), id.into(), self.class.into(), Value::Array(params)])
+    }
+}
+
+fn encode(message: Vec<Value>) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &Value::Array(message)).map_err(io::Error::other)?;
+    Ok(bytes)
+}
+
+/// What became of a request or a health check.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Served, with this result.
+    Served(String),
+    /// The answer to a health check.
+    Health(bool),
+    /// Refused.
+    Busy,
+    /// Any other error, by its name.
+    Failed(String),
+    /// The connection ended without an answer.
+    Lost,
+    /// No answer came in time.
+    Late,
+}
+
+impl Reply {
+    /// The result, if it was served.
+    pub fn result(&self) -> Option<&str> {
+        if let Reply::Served(result) = self { Some(result) } else { None }
+    }
+}
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// In order.
+    Closed,
+    /// By a reset or another error, which may have taken replies along.
+    Broken,
+}
+
+#[derive(Debug, Default)]
+struct Inbox {
+    replies: HashMap<u64, Reply>,
+    told_to_go: bool,
+    ending: Option<Ending>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    inbox: Mutex<Inbox>,
+    changed: Condvar,
+}
+
+impl Shared {
+    fn inbox(&self) -> MutexGuard<'_, Inbox> {
+        self.inbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until there is something to take, or the time is over.
+    fn wait_for<T>(&self, limit: Duration, mut take: impl FnMut(&mut Inbox) -> Option<T>) -> Option<T> {
+        let until = Instant::now() + limit;
+        let mut inbox = self.inbox();
+        loop {
+            if let Some(taken) = take(&mut inbox) {
+                return Some(taken);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            inbox = self.changed.wait_timeout(inbox, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+/// A connection.
+#[derive(Debug)]
+pub struct Client {
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    last_id: Cell<u64>,
+}
+
+impl Client {
+    /// Connects; a thread reads what comes until the connection ends.
+    pub fn connect(address: SocketAddr) -> io::Result<Client> {
+        let stream = TcpStream::connect_timeout(&address, CONNECT_LIMIT)?;
+        stream.set_nodelay(true)?;
+        let (reading, shared) = (stream.try_clone()?, Arc::new(Shared::default()));
+        let inbox = shared.clone();
+        std::thread::spawn(move || read_replies(reading, &inbox));
+        Ok(Client { stream, shared, last_id: Cell::new(0) })
+    }
+
+    fn next_id(&self) -> u64 {
+        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.get()
+    }
+
+    /// The bytes of a request and its id, to be sent in parts by [`Client::write`].
+    pub fn encode(&self, request: &Request) -> io::Result<(u64, Vec<u8>)> {
+        let id = self.next_id();
+        Ok((id, request.message(id)?))
+    }
+
+    /// Writes any bytes.
+    pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&self.stream).write_all(bytes)
+    }
+
+    /// Sends a request; tells its id.
+    pub fn send(&self, request: &Request) -> io::Result<u64> {
+        let (id, bytes) = self.encode(request)?;
+        self.write(&bytes)?;
+        Ok(id)
+    }
+
+    /// Waits for the reply to what was sent under this id.
+    pub fn wait(&self, id: u64) -> Reply {
+        let take = |inbox: &mut Inbox| inbox.replies.remove(&id).or(inbox.ending.map(|_| Reply::Lost));
+        self.shared.wait_for(REPLY_LIMIT, take).unwrap_or(Reply::Late)
+    }
+
+    /// Sends a request and waits for the reply.
+    pub fn call(&self, request: &Request) -> Reply {
+        self.send(request).map_or(Reply::Lost, |id| self.wait(id))
+    }
+
+    /// A health check.
+    pub fn ping(&self) -> Reply {
+        let id = self.next_id();
+        let message = encode(vec![0.into(), id.into(), "ping".into(), Value::Array(Vec::new())]);
+        message.and_then(|bytes| self.write(&bytes)).map_or(Reply::Lost, |()| self.wait(id))
+    }
+
+    /// Gives a request up.
+    pub fn abort(&self, id: u64) -> io::Result<()> {
+        self.write(&encode(vec![2.into(), "abort".into(), Value::Array(vec![id.into()])])?)
+    }
+
+    /// Whether the notice to go has come.
+    pub fn is_told_to_go(&self) -> bool {
+        self.shared.inbox().told_to_go
+    }
+
+    /// Waits for the notice to go.
+    pub fn wait_for_notice(&self, limit: Duration) -> bool {
+        self.shared.wait_for(limit, |inbox| inbox.told_to_go.then_some(())).is_some()
+    }
+
+    /// How the connection ended, if it has.
+    pub fn ending(&self) -> Option<Ending> {
+        self.shared.inbox().ending
+    }
+
+    /// Waits for the end of the connection.
+    pub fn wait_for_ending(&self, limit: Duration) -> Option<Ending> {
+        self.shared.wait_for(limit, |inbox| inbox.ending)
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+fn read_replies(mut stream: TcpStream, shared: &Shared) {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 16 * 1024]);
+    let ending = loop {
+        match stream.read(&mut chunk) {
+            Ok(0) => break Ending::Closed,
+            Ok(n) => input.extend_from_slice(&chunk[..n]),
+            Err(_) => break Ending::Broken,
+        }
+        let mut inbox = shared.inbox();
+        while let Some(message) = take_message(&mut input) {
+            accept_message(&mut inbox, &message);
+        }
+        shared.changed.notify_all();
+    };
+    shared.inbox().ending = Some(ending);
+    shared.changed.notify_all();
+}
+
+/// Takes a whole message off the front, if there is one.
+fn take_message(input: &mut Vec<u8>) -> Option<Value> {
+    let mut rest = input.as_slice();
+    let message = rmpv::decode::read_value(&mut rest).ok()?;
+    let used = input.len() - rest.len();
+    input.drain(..used);
+    Some(message)
+}
+
+fn accept_message(inbox: &mut Inbox, message: &Value) {
+    match message.as_array().map(Vec::as_slice) {
+        Some([kind, name, _]) if kind.as_u64() == Some(2) && name.as_str() == Some("goaway") => {
+            inbox.told_to_go = true;
+        }
+        Some([kind, id, error, result]) if kind.as_u64() == Some(1) => {
+            if let Some(id) = id.as_u64() {
+                inbox.replies.insert(id, reply(error, result));
+            }
+        }
+        _ => {}
+    }
+}
+
+fn reply(error: &Value, result: &Value) -> Reply {
+    let first = |value: &Value| value.as_array().and_then(|row| row.first().cloned());
+    if let Some(name) = first(error) {
+        return match name.as_str() {
+            Some("Busy") => Reply::Busy,
+            name => Reply::Failed(name.unwrap_or_default().to_owned()),
+        };
+    }
+    match first(result) {
+        Some(Value::Boolean(good)) => Reply::Health(good),
+        Some(Value::Binary(bytes)) => Reply::Served(String::from_utf8_lossy(&bytes).into_owned()),
+        other => Reply::Failed(format!("unexpected result {other:?}")),
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation/deployment.rs
@@ -0,0 +1,231 @@
+//! What stays while processes of one name come and go: the listen address, the list service, the store, the directory
+//! for temporary files. It starts processes; what they say is for its callers to judge.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
+
+use super::client::Client;
+use super::engine::{CORES, Engine};
+use super::management::{self, Answer};
+use super::services::{ListService, Store};
+use crate::listen::own_port;
+use crate::process::Folder;
+
+/// The name of the socket by which processes hand over, in the directory for temporary files.
+const HANDOVER_SOCKET: &str = "pinepoint-handover.sock";
+/// The environment variable that names the management address.
+const MANAGEMENT_VARIABLE: &str = "RELAY_MANAGEMENT";
+
+const SETTINGS: &str = r#"{"services":[
+ {"name":"look","effect":"read_like","promiseMs":1000,"deadlineMs":2500,"worth":1},
+ {"name":"lookup","effect":"read_like","promiseMs":1000,"deadlineMs":2500,"worth":1},
+ {"name":"write","effect":"idempotency_key","keyTtlMs":WINDOW,"promiseMs":1000,"deadlineMs":2500,"worth":3}],
+ "contract":{"answerSlackMs":100,"drainGraceMs":500,"fallMultiple":8,"tipAfterMs":3000},
+ "ceilings":{"retryAfter":true,"maxRetryAfterMs":1000},
+ "specifics":{"cores":CORES,"heapKb":200000,"runFactor":4,"keyKb":5,"preemption":"drop","signal":"weight",
+ "registryFollows":true,"classCalls":[false,true,false],"worthWithout":[0,0,0],"callsOut":8,"callsOverMs":5000,
+ "lingerMs":200,"gauges":["cpu_busy","runnable","mem_used","sockets"]}}"#;
+
+/// Tells apart the deployments of this process.
+static DEPLOYMENTS: AtomicUsize = AtomicUsize::new(0);
+
+/// What a deployment is like.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The program.
+    pub program: PathBuf,
+    /// From SIGTERM to SIGKILL: the longest deadline, at most 3 s, and 0.7 s.
+    pub stop: Duration,
+    /// Limit on the sockets of a process.
+    pub sockets: u32,
+    /// Window of the keyed class.
+    pub key_window: Duration,
+    /// `$TMPDIR` of the processes, if it is not a directory of the deployment.
+    pub temporary: Option<PathBuf>,
+    /// Where the processes report to, if not to the list service of the deployment.
+    pub members: Option<SocketAddr>,
+}
+
+impl Setup {
+    /// The usual one for this program.
+    pub fn new(program: impl Into<PathBuf>) -> Setup {
+        Setup {
+            program: program.into(),
+            stop: Duration::from_millis(3200),
+            sockets: 256,
+            key_window: Duration::from_secs(20),
+            temporary: None,
+            members: None,
+        }
+    }
+}
+
+/// Where a process is told that its management port is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ManagementSource {
+    /// In the environment.
+    pub environment: Option<SocketAddr>,
+    /// In the configuration.
+    pub configuration: Option<SocketAddr>,
+}
+
+/// The stable surroundings of the processes.
+#[derive(Debug)]
+pub struct Deployment {
+    setup: Setup,
+    folder: Folder,
+    started: Cell<usize>,
+    /// Where all processes listen for clients.
+    pub listen: SocketAddr,
+    /// The list service.
+    pub list: ListService,
+    /// The store.
+    pub store: Store,
+}
+
+/// An address of loopback that nothing listens on now.
+pub fn free_address() -> io::Result<SocketAddr> {
+    own_port()?.local_addr()
+}
+
+impl Deployment {
+    /// One without processes.
+    pub fn new(setup: Setup) -> io::Result<Deployment> {
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let folder = Folder::new(&format!("operation-{number}"))?;
+        std::fs::create_dir_all(folder.0.join("tmp"))?;
+        let (listen, list, store) = (free_address()?, ListService::start()?, Store::start()?);
+        Ok(Deployment { setup, folder, started: Cell::new(0), listen, list, store })
+    }
+
+    /// `$TMPDIR` of the processes.
+    pub fn temporary(&self) -> PathBuf {
+        self.setup.temporary.clone().unwrap_or_else(|| self.folder.0.join("tmp"))
+    }
+
+    /// The socket by which processes hand over.
+    pub fn handover_socket(&self) -> PathBuf {
+        self.temporary().join(HANDOVER_SOCKET)
+    }
+
+    /// Time from SIGTERM to SIGKILL.
+    pub fn stop(&self) -> Duration {
+        self.setup.stop
+    }
+
+    /// A connection to whichever process accepts it.
+    pub fn connect(&self) -> io::Result<Client> {
+        Client::connect(self.listen)
+    }
+
+    /// Starts a process on this engine, with a management port named by the environment.
+    pub fn start(&self, engine: Engine) -> io::Result<Process> {
+        let source = ManagementSource { environment: Some(free_address()?), configuration: None };
+        self.start_with(engine, source)
+    }
+
+    /// Starts a process whose management port is named so.
+    pub fn start_with(&self, engine: Engine, source: ManagementSource) -> io::Result<Process> {
+        let number = self.started.replace(self.started.get() + 1);
+        let config = self.folder.0.join(format!("config-{number}.json"));
+        std::fs::write(&config, self.configuration(&engine, source.configuration))?;
+        let log = self.folder.0.join(format!("log-{number}"));
+        let mut command = Command::new(&self.setup.program);
+        command.env("RELAY_CONFIG", &config).env("TMPDIR", self.temporary()).env_remove(MANAGEMENT_VARIABLE);
+        if let Some(address) = source.environment {
+            command.env(MANAGEMENT_VARIABLE, address.to_string());
+        }
+        let child = command.stdin(Stdio::null()).stderr(std::fs::File::create(&log)?).spawn()?;
+        let management = source.environment.or(source.configuration).unwrap_or(self.listen);
+        Ok(Process { child, engine, management, config, log })
+    }
+
+    fn configuration(&self, engine: &Engine, management: Option<SocketAddr>) -> String {
+        let Setup { stop, sockets, key_window, members, .. } = &self.setup;
+        let settings = SETTINGS
+            .replace("CORES", &CORES.to_string())
+            .replace("WINDOW", &key_window.as_millis().to_string());
+        let (listen, engine, store) = (self.listen, engine.address, self.store.address);
+        let members = members.unwrap_or(self.list.address);
+        let management =
+            management.map(|address| format!(r#""management":"{address}","#)).unwrap_or_default();
+        format!(
+            r#"{{"name":"n1","listen":"{listen}","engine":"{engine}","members":"{members}","store":"{store}",{management}
+            "seed":"8c1f30d27a5be964","stop_ms":{},"limits":{{"cores":1,"memory_mb":64,"sockets":{sockets}}},
+            "settings":{settings}}}"#,
+            stop.as_millis()
+        )
+    }
+}
+
+/// A process of the program. It is killed with this value.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Its engine.
+    pub engine: Engine,
+    /// Its management port.
+    pub management: SocketAddr,
+    /// Its configuration file.
+    pub config: PathBuf,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Asks its management port.
+    pub fn ask(&self, command: &str) -> io::Result<Answer> {
+        management::ask(self.management, command)
+    }
+
+    /// Waits until its management port says that it serves; tells how long that took.
+    pub fn await_ready(&self, limit: Duration) -> io::Result<Duration> {
+        management::await_ready(self.management, limit)
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        Ok(kill_process(id.ok_or(io::ErrorKind::InvalidInput)?, signal)?)
+    }
+
+    /// Kills it outright, and waits until it is gone.
+    pub fn kill(&mut self) -> io::Result<ExitStatus> {
+        self.child.kill()?;
+        self.child.wait()
+    }
+
+    /// Waits for its own end; nothing if it does not end in time.
+    pub fn wait_exit(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        let until = Instant::now() + limit;
+        loop {
+            let status = self.child.try_wait()?;
+            if status.is_some() || Instant::now() >= until {
+                return Ok(status);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> io::Result<String> {
+        std::fs::read_to_string(&self.log)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("log of process {}:\n{}", self.child.id(), self.log().unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation/engine.rs
@@ -0,0 +1,285 @@
+//! An engine that records every run and ends it on command or after a time. It shares no cores between runs.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::listen::{line, own_port};
+
+/// Cores that the engine reports as busy when as many runs are open.
+pub(crate) const CORES: usize = 4;
+/// A run whose body begins so stops once for a call to the store.
+pub const CALL_PREFIX: &str = "call ";
+
+/// Makes the result of each run different from that of any other.
+static RESULTS: AtomicU64 = AtomicU64::new(0);
+
+/// When runs end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finish {
+    /// When [`Engine::finish`] says so.
+    OnCommand,
+    /// This long after they began, or after the reply to their call.
+    After(Duration),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunState {
+    Running { due: Option<Instant> },
+    AtCall,
+    Over,
+}
+
+#[derive(Debug)]
+struct Run {
+    rid: String,
+    body: String,
+    state: RunState,
+}
+
+#[derive(Debug)]
+struct State {
+    finish: Finish,
+    up: bool,
+    link: Option<TcpStream>,
+    runs: Vec<Run>,
+    /// Every notice ever sent; the first one has the number 1.
+    notices: Vec<Vec<u8>>,
+}
+
+impl State {
+    fn write(&mut self, bytes: &[u8]) {
+        if let Some(link) = &mut self.link {
+            // A broken link is mended by the program, which asks for the notices it missed.
+            let _ = link.write_all(bytes);
+        }
+    }
+
+    fn notify(&mut self, notice: impl FnOnce(usize) -> Vec<u8>) {
+        let bytes = notice(self.notices.len() + 1);
+        self.write(&bytes);
+        self.notices.push(bytes);
+    }
+
+    fn due(&self) -> Option<Instant> {
+        match self.finish {
+            Finish::OnCommand => None,
+            Finish::After(pause) => Some(Instant::now() + pause),
+        }
+    }
+
+    fn open(&self, run: &Run) -> bool {
+        run.state != RunState::Over
+    }
+
+    fn end(&mut self, at: usize, how: &str) {
+        let run = &mut self.runs[at];
+        run.state = RunState::Over;
+        let result = match how {
+            "complete" => format!("{}/{}", run.body, RESULTS.fetch_add(1, Ordering::Relaxed)),
+            _ => String::new(),
+        };
+        let rid = run.rid.clone();
+        self.notify(|number| {
+            format!("DONE {number} {rid} {how} 1 {}\r\n{result}\r\n", result.len()).into_bytes()
+        });
+    }
+
+    fn end_due(&mut self) {
+        let now = Instant::now();
+        for at in 0..self.runs.len() {
+            if matches!(self.runs[at].state, RunState::Running { due: Some(due) } if due <= now) {
+                self.end(at, "complete");
+            }
+        }
+    }
+
+    fn next_due(&self) -> Option<Instant> {
+        let due = |run: &Run| if let RunState::Running { due } = run.state { due } else { None };
+        self.runs.iter().filter_map(due).min()
+    }
+
+    fn attach(&mut self, last: usize) {
+        self.write(b"HELLO hot 60000\r\n");
+        let missed: Vec<u8> = self.notices.iter().skip(last).flatten().copied().collect();
+        self.write(&missed);
+    }
+
+    fn begin(&mut self, rid: &str, body: Vec<u8>) {
+        // A command that is sent again after a break changes nothing.
+        if self.runs.iter().any(|run| run.rid == rid) {
+            return;
+        }
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let calls = body.starts_with(CALL_PREFIX);
+        let state = if calls { RunState::AtCall } else { RunState::Running { due: self.due() } };
+        self.runs.push(Run { rid: rid.to_owned(), body, state });
+        if calls {
+            self.notify(|number| format!("NEED {number} {rid} 3\r\nask\r\n").into_bytes());
+        }
+    }
+
+    fn command(&mut self, words: &[&str], body: Vec<u8>) {
+        match words {
+            ["ATTACH", last] => self.attach(last.parse().unwrap_or(0)),
+            ["RUN", rid, ..] => self.begin(rid, body),
+            ["HALT", rid] => {
+                if let Some(at) = self.runs.iter().position(|run| run.rid == *rid && self.open(run)) {
+                    self.end(at, "cancelled");
+                }
+            }
+            ["FEED" | "SKIP", rid, ..] => {
+                let due = self.due();
+                let waits = |run: &&mut Run| run.rid == *rid && run.state == RunState::AtCall;
+                if let Some(run) = self.runs.iter_mut().find(waits) {
+                    run.state = RunState::Running { due };
+                }
+            }
+            ["STAT", tag] => {
+                let running =
+                    self.runs.iter().filter(|run| matches!(run.state, RunState::Running { .. })).count();
+                let busy = (running as f64 / CORES as f64).min(1.0);
+                self.write(format!("STATS {tag} {busy:.3} {running} 0.1 3\r\n").as_bytes());
+            }
+            _ => {}
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A handle on the engine; clones share it. Its threads end with the process of the caller.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    shared: Arc<Shared>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Engine {
+    /// Starts an engine that is up.
+    pub fn start(finish: Finish) -> io::Result<Engine> {
+        let listener = own_port()?;
+        let address = listener.local_addr()?;
+        let state = State { finish, up: true, link: None, runs: Vec::new(), notices: Vec::new() };
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
+        let (accepting, ending) = (shared.clone(), shared.clone());
+        std::thread::spawn(move || accept(&listener, &accepting));
+        std::thread::spawn(move || end_runs_when_due(&ending));
+        Ok(Engine { shared, address })
+    }
+
+    /// Starts an engine that is down.
+    pub fn start_down(finish: Finish) -> io::Result<Engine> {
+        let engine = Engine::start(finish)?;
+        engine.set_up(false);
+        Ok(engine)
+    }
+
+    /// Takes links from now on, or ends the one there is and takes none.
+    pub fn set_up(&self, up: bool) {
+        let mut state = self.shared.state();
+        state.up = up;
+        if let Some(link) = state.link.take().filter(|_| !up) {
+            let _ = link.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Changes when the runs that begin from now on end.
+    pub fn set_finish(&self, finish: Finish) {
+        self.shared.state().finish = finish;
+    }
+
+    /// Ends all open runs with this body well; tells how many these were.
+    pub fn finish(&self, body: &str) -> usize {
+        self.finish_where(|run| run.body == body)
+    }
+
+    /// Ends all open runs well; tells how many these were.
+    pub fn finish_all(&self) -> usize {
+        self.finish_where(|_| true)
+    }
+
+    fn finish_where(&self, wanted: impl Fn(&Run) -> bool) -> usize {
+        let mut state = self.shared.state();
+        let runs = state.runs.iter().enumerate();
+        let open =
+            runs.filter(|(_, run)| state.open(run) && wanted(run)).map(|(at, _)| at).collect::<Vec<_>>();
+        open.iter().for_each(|at| state.end(*at, "complete"));
+        open.len()
+    }
+
+    /// How often this body was begun.
+    pub fn runs_of(&self, body: &str) -> usize {
+        self.shared.state().runs.iter().filter(|run| run.body == body).count()
+    }
+
+    /// How often each body was begun.
+    pub fn runs(&self) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for run in &self.shared.state().runs {
+            *counts.entry(run.body.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Runs that are not over.
+    pub fn open_runs(&self) -> usize {
+        let state = self.shared.state();
+        state.runs.iter().filter(|run| state.open(run)).count()
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    for stream in listener.incoming().flatten() {
+        let _ = stream.set_nodelay(true);
+        let mut state = shared.state();
+        let Ok(link) = stream.try_clone() else { continue };
+        // While the engine is down the stream is dropped here, which closes it.
+        if state.up {
+            state.link = Some(link);
+            let shared = shared.clone();
+            std::thread::spawn(move || read_commands(stream, &shared));
+        }
+    }
+}
+
+fn read_commands(mut stream: TcpStream, shared: &Shared) {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 16 * 1024]);
+    while let Ok(n @ 1..) = stream.read(&mut chunk) {
+        input.extend_from_slice(&chunk[..n]);
+        let mut state = shared.state();
+        while let Some((text, body)) = line(&mut input) {
+            state.command(&text.split(' ').collect::<Vec<_>>(), body);
+        }
+        shared.changed.notify_all();
+    }
+}
+
+fn end_runs_when_due(shared: &Shared) {
+    let mut state = shared.state();
+    loop {
+        state.end_due();
+        state = match state.next_due() {
+            Some(due) => {
+                let pause = due.saturating_duration_since(Instant::now());
+                let waited = shared.changed.wait_timeout(state, pause);
+                waited.unwrap_or_else(PoisonError::into_inner).0
+            }
+            None => shared.changed.wait(state).unwrap_or_else(PoisonError::into_inner),
+        };
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation/management.rs
@@ -0,0 +1,119 @@
+//! A caller of the management port: one line out, one answer back, then the server closes.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// How long a connection and an answer are waited for.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// The line that ends an answer of several lines.
+const LAST_LINE: &str = ".";
+
+/// What came back until the server closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// All lines, without their ends.
+    pub lines: Vec<String>,
+    /// Time from the start of the connection to the server's close.
+    pub took: Duration,
+}
+
+/// One figure of `INFO`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Figure {
+    /// Its value.
+    pub value: u64,
+    /// `c` for a counter, `g` for a gauge.
+    pub kind: char,
+}
+
+impl Answer {
+    /// The first line; empty if there was none.
+    pub fn head(&self) -> &str {
+        self.lines.first().map_or("", String::as_str)
+    }
+
+    /// Whether the first line says that the command was carried out.
+    pub fn is_ok(&self) -> bool {
+        is_head(self.head(), "+OK")
+    }
+
+    /// Whether the first line says that it was not.
+    pub fn is_error(&self) -> bool {
+        is_head(self.head(), "-ERR")
+    }
+
+    /// The figures of an answer to `INFO`, by name; an error if the answer is not one.
+    pub fn figures(&self) -> io::Result<BTreeMap<String, Figure>> {
+        let invalid =
+            |line: &str| io::Error::new(io::ErrorKind::InvalidData, format!("no INFO line: {line}"));
+        let [head, figures @ .., last] = self.lines.as_slice() else { return Err(invalid(self.head())) };
+        if !self.is_ok() || last != LAST_LINE {
+            return Err(invalid(if self.is_ok() { last } else { head }));
+        }
+        figures.iter().map(|line| figure(line).ok_or_else(|| invalid(line))).collect()
+    }
+}
+
+/// Whether the line is this word, alone or with a text behind it.
+fn is_head(line: &str, word: &str) -> bool {
+    line.strip_prefix(word).is_some_and(|rest| rest.is_empty() || rest.starts_with(' '))
+}
+
+/// Reads `name:value|kind`.
+fn figure(line: &str) -> Option<(String, Figure)> {
+    let (name, rest) = line.split_once(':')?;
+    let (value, kind) = rest.split_once('|')?;
+    let kind = match kind {
+        "c" => 'c',
+        "g" => 'g',
+        _ => return None,
+    };
+    Some((name.to_owned(), Figure { value: value.parse().ok()?, kind }))
+}
+
+/// Sends one command on a connection of its own and reads the answer to its end.
+pub fn ask(address: SocketAddr, command: &str) -> io::Result<Answer> {
+    ask_bytes(address, format!("{command}\r\n").as_bytes())
+}
+
+/// The same with any bytes in place of a line.
+pub fn ask_bytes(address: SocketAddr, bytes: &[u8]) -> io::Result<Answer> {
+    let began = Instant::now();
+    let mut stream = TcpStream::connect_timeout(&address, ANSWER_LIMIT)?;
+    stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+    stream.set_write_timeout(Some(ANSWER_LIMIT))?;
+    // A server that has heard enough may close before all is written; its answer is read all the same.
+    let _ = stream.write_all(bytes);
+    read_answer(&mut stream, began)
+}
+
+/// Reads the answer on a connection that was made at this time.
+pub fn read_answer(stream: &mut TcpStream, began: Instant) -> io::Result<Answer> {
+    let mut bytes = Vec::new();
+    match stream.read_to_end(&mut bytes) {
+        Ok(_) => {}
+        // A close over input that was not read is a reset; what came before it counts.
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset && bytes.ends_with(b"\n") => {}
+        Err(error) => return Err(error),
+    }
+    let text = String::from_utf8(bytes).map_err(io::Error::other)?;
+    Ok(Answer { lines: text.lines().map(str::to_owned).collect(), took: began.elapsed() })
+}
+
+/// Asks `PING` until the answer is good; tells how long that took.
+pub fn await_ready(address: SocketAddr, limit: Duration) -> io::Result<Duration> {
+    let began = Instant::now();
+    loop {
+        let answer = ask(address, "PING");
+        if answer.as_ref().is_ok_and(Answer::is_ok) {
+            return Ok(began.elapsed());
+        }
+        if began.elapsed() > limit {
+            let last = answer.map_or_else(|error| error.to_string(), |answer| answer.head().to_owned());
+            return Err(io::Error::new(io::ErrorKind::TimedOut, format!("not ready in {limit:?}: {last}")));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/crates/pinepoint-lab/src/operation/services.rs
@@ -0,0 +1,113 @@
+//! The services that all processes of a deployment share: the list service, which records each report, and a store that
+//! answers each call at once.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use crate::listen::{line, own_port};
+
+/// One report to the list service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// When it came.
+    pub at: Instant,
+    /// Who it is about.
+    pub name: String,
+    /// `UP`, or else `OUT`.
+    pub up: bool,
+}
+
+/// The list service.
+#[derive(Clone, Debug)]
+pub struct ListService {
+    reports: Arc<Mutex<Vec<Report>>>,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+}
+
+impl ListService {
+    /// Starts it on a thread of its own.
+    pub fn start() -> io::Result<ListService> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let service = ListService { reports: Arc::default(), address: socket.local_addr()? };
+        let reports = service.reports.clone();
+        std::thread::spawn(move || record(&socket, &reports));
+        Ok(service)
+    }
+
+    /// All reports that came at this time or later.
+    pub fn reports_since(&self, since: Instant) -> Vec<Report> {
+        let reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.iter().filter(|report| report.at >= since).cloned().collect()
+    }
+
+    /// Whether a report of this kind came at this time or later.
+    pub fn heard_since(&self, since: Instant, up: bool) -> bool {
+        self.reports_since(since).iter().any(|report| report.up == up)
+    }
+}
+
+fn record(socket: &UdpSocket, reports: &Mutex<Vec<Report>>) {
+    let mut packet = [0; 512];
+    loop {
+        // A signal to this process may interrupt it.
+        let Ok(n) = socket.recv(&mut packet) else { continue };
+        let text = String::from_utf8_lossy(&packet[..n]);
+        if let ["HB", name, state @ ("UP" | "OUT")] = text.split_whitespace().collect::<Vec<_>>().as_slice() {
+            let report = Report { at: Instant::now(), name: (*name).to_owned(), up: *state == "UP" };
+            reports.lock().unwrap_or_else(PoisonError::into_inner).push(report);
+        }
+    }
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    calls: Arc<AtomicU64>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Store {
+    /// Starts it on threads of its own.
+    pub fn start() -> io::Result<Store> {
+        let listener = own_port()?;
+        let store = Store { calls: Arc::default(), address: listener.local_addr()? };
+        let calls = store.calls.clone();
+        std::thread::spawn(move || accept_callers(&listener, &calls));
+        Ok(store)
+    }
+
+    /// Calls that it answered.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+}
+
+fn accept_callers(listener: &TcpListener, calls: &Arc<AtomicU64>) {
+    for stream in listener.incoming().flatten() {
+        let calls = calls.clone();
+        // The end of a connection is the caller's business.
+        std::thread::spawn(move || answer_calls(stream, &calls));
+    }
+}
+
+fn answer_calls(mut stream: TcpStream, calls: &AtomicU64) -> io::Result<()> {
+    let (mut input, mut chunk) = (Vec::new(), vec![0; 4096]);
+    loop {
+        let n = stream.read(&mut chunk)?;
+        if n == 0 {
+            return Ok(());
+        }
+        input.extend_from_slice(&chunk[..n]);
+        while let Some((text, _)) = line(&mut input) {
+            if let ["CALL", rid, ..] = text.split(' ').collect::<Vec<_>>().as_slice() {
+                calls.fetch_add(1, Ordering::Relaxed);
+                stream.write_all(format!("{rid} OK 2\r\nok\r\n").as_bytes())?;
+            }
+        }
+    }
+}
