--- a/crates/pinepoint-lab/src/operation/client.rs
+++ b/crates/pinepoint-lab/src/operation/client.rs
@@ -1,6 +1,5 @@
 //! One MessagePack-RPC connection of a client: requests out, replies by id, the notice to go, and how it ended.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -152,7 +151,7 @@
 pub struct Client {
     stream: TcpStream,
     shared: Arc<Shared>,
-    last_id: Cell<u64>,
+    last_id: AtomicU64,
 }
 
 impl Client {
@@ -163,12 +162,11 @@
         let (reading, shared) = (stream.try_clone()?, Arc::new(Shared::default()));
         let inbox = shared.clone();
         std::thread::spawn(move || read_replies(reading, &inbox));
-        Ok(Client { stream, shared, last_id: Cell::new(0) })
+        Ok(Client { stream, shared, last_id: AtomicU64::new(0) })
     }
 
     fn next_id(&self) -> u64 {
-        self.last_id.set(self.last_id.get() + 1);
-        self.last_id.get()
+        self.last_id.fetch_add(1, Ordering::Relaxed) + 1
     }
 
     /// The bytes of a request and its id, to be sent in parts by [`Client::write`].
--- a/crates/pinepoint-lab/src/operation/deployment.rs
+++ b/crates/pinepoint-lab/src/operation/deployment.rs
@@ -1,7 +1,6 @@
 //! What stays while processes of one name come and go: the listen address, the list service, the store, the directory
 //! for temporary files. It starts processes; what they say is for its callers to judge.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -82,7 +81,7 @@
 pub struct Deployment {
     setup: Setup,
     folder: Folder,
-    started: Cell<usize>,
+    started: AtomicUsize,
     /// Where all processes listen for clients.
     pub listen: SocketAddr,
     /// The list service.
@@ -103,7 +102,7 @@
         let folder = Folder::new(&format!("operation-{number}"))?;
         std::fs::create_dir_all(folder.0.join("tmp"))?;
         let (listen, list, store) = (free_address()?, ListService::start()?, Store::start()?);
-        Ok(Deployment { setup, folder, started: Cell::new(0), listen, list, store })
+        Ok(Deployment { setup, folder, started: AtomicUsize::new(0), listen, list, store })
     }
 
     /// `$TMPDIR` of the processes.
@@ -134,7 +133,7 @@
 
     /// Starts a process whose management port is named so.
     pub fn start_with(&self, engine: Engine, source: ManagementSource) -> io::Result<Process> {
-        let number = self.started.replace(self.started.get() + 1);
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
         let config = self.folder.0.join(format!("config-{number}.json"));
         std::fs::write(&config, self.configuration(&engine, source.configuration))?;
         let log = self.folder.0.join(format!("log-{number}"));
--- a/crates/pinepoint-lab/src/operation/engine.rs
+++ b/crates/pinepoint-lab/src/operation/engine.rs
@@ -203,12 +203,12 @@
         self.shared.state().finish = finish;
     }
 
-    /// Ends all open runs with this body well; tells how many these were.
+    /// Ends all runs with this body well that wait for no call; tells how many these were.
     pub fn finish(&self, body: &str) -> usize {
         self.finish_where(|run| run.body == body)
     }
 
-    /// Ends all open runs well; tells how many these were.
+    /// Ends all runs well that wait for no call; tells how many these were.
     pub fn finish_all(&self) -> usize {
         self.finish_where(|_| true)
     }
@@ -216,10 +216,11 @@
     fn finish_where(&self, wanted: impl Fn(&Run) -> bool) -> usize {
         let mut state = self.shared.state();
         let runs = state.runs.iter().enumerate();
-        let open =
-            runs.filter(|(_, run)| state.open(run) && wanted(run)).map(|(at, _)| at).collect::<Vec<_>>();
-        open.iter().for_each(|at| state.end(*at, "complete"));
-        open.len()
+        let running = |run: &Run| matches!(run.state, RunState::Running { .. });
+        let ending = runs.filter(|(_, run)| running(run) && wanted(run)).map(|(at, _)| at);
+        let ending: Vec<usize> = ending.collect();
+        ending.iter().for_each(|at| state.end(*at, "complete"));
+        ending.len()
     }
 
     /// How often this body was begun.
--- /dev/null
+++ b/tests/operation/mod.rs
@@ -0,0 +1,192 @@
+//! What the tests of upgrades and of the management port share: a deployment of the program among stand-ins, the usual
+//! steps of an upgrade, and checks that every such test makes.
+
+// Each test file uses a part of it.
+#![allow(dead_code, unused_imports)]
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+pub use pinepoint_lab::operation::client::{Client, Ending, Reply, Request};
+pub use pinepoint_lab::operation::deployment::{
+    Deployment, ManagementSource, Process, Setup, Signal, free_address,
+};
+pub use pinepoint_lab::operation::engine::{Engine, Finish};
+pub use pinepoint_lab::operation::load::{Load, Plan};
+pub use pinepoint_lab::operation::management::{Answer, ask_bytes, read_answer};
+
+/// A new process takes over within this time.
+pub const READY_LIMIT: Duration = Duration::from_secs(6);
+/// An answer of the management port comes within this time.
+pub const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// Anything else that is waited for.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+/// Time that a run takes on an engine that ends runs by itself.
+pub const RUN_TIME: Duration = Duration::from_millis(5);
+/// Time for something that must not happen, to happen.
+pub const QUIET: Duration = Duration::from_millis(700);
+
+pub fn setup() -> Setup {
+    Setup::new(env!("CARGO_BIN_EXE_pinepoint"))
+}
+
+pub fn deployment() -> Deployment {
+    deployment_of(setup())
+}
+
+pub fn deployment_of(setup: Setup) -> Deployment {
+    Deployment::new(setup).expect("loopback addresses and a directory")
+}
+
+/// An engine that ends runs by itself.
+pub fn quick_engine() -> Engine {
+    Engine::start(Finish::After(RUN_TIME)).expect("a free port")
+}
+
+/// An engine that ends runs when it is told to.
+pub fn commanded_engine() -> Engine {
+    Engine::start(Finish::OnCommand).expect("a free port")
+}
+
+/// An engine that nobody reaches before it is set up.
+pub fn engine_down() -> Engine {
+    Engine::start_down(Finish::After(RUN_TIME)).expect("a free port")
+}
+
+/// Starts a process and returns at once.
+pub fn start(deployment: &Deployment, engine: Engine) -> Process {
+    deployment.start(engine).expect("the program starts")
+}
+
+/// Starts a process and waits until it serves.
+pub fn start_ready(deployment: &Deployment, engine: Engine) -> Process {
+    let process = start(deployment, engine);
+    ready(&process);
+    process
+}
+
+pub fn ready(process: &Process) {
+    process.await_ready(READY_LIMIT).expect("the process serves in time");
+}
+
+pub fn connect(deployment: &Deployment) -> Client {
+    deployment.connect().expect("somebody accepts")
+}
+
+pub fn tell(process: &Process, signal: Signal) {
+    process.signal(signal).expect("the process is there");
+}
+
+/// Asks a management port that has to answer in time.
+pub fn answer(process: &Process, command: &str) -> Answer {
+    let answer = process.ask(command).expect("the management port answers");
+    assert!(answer.took <= ANSWER_LIMIT, "{command} took {:?}", answer.took);
+    answer
+}
+
+/// Gives a command that has to be carried out.
+pub fn command_ok(process: &Process, command: &str) {
+    let answer = answer(process, command);
+    assert!(answer.is_ok(), "{command}: {}", answer.head());
+}
+
+/// Gives a command that has to be turned down.
+pub fn command_fails(process: &Process, command: &str) {
+    let answer = answer(process, command);
+    assert!(answer.is_error(), "{command}: {}", answer.head());
+}
+
+/// One figure of `INFO`.
+pub fn figure(process: &Process, name: &str) -> u64 {
+    let figures = answer(process, "INFO").figures().expect("an answer to INFO");
+    figures.get(name).unwrap_or_else(|| panic!("no {name} in {figures:?}")).value
+}
+
+/// One counter of `INFO`, summed over all classes.
+pub fn sum_of_classes(process: &Process, counter: &str) -> u64 {
+    let figures = answer(process, "INFO").figures().expect("an answer to INFO");
+    let of_class = |name: &String| name.starts_with("relay.calls.") && name.ends_with(&format!(".{counter}"));
+    figures.iter().filter(|(name, _)| of_class(name)).map(|(_, figure)| figure.value).sum()
+}
+
+/// Waits until something holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    eventually_within(PATIENCE, what, &mut holds);
+}
+
+pub fn eventually_within(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + limit;
+    while !holds() {
+        assert!(Instant::now() < until, "not within {limit:?}: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Sends a request that has to be served; returns its result.
+pub fn served(client: &Client, request: &Request) -> String {
+    match client.call(request) {
+        Reply::Served(result) => result,
+        other => panic!("{} was not served: {other:?}", request.body),
+    }
+}
+
+/// Tells a process to leave; it has to end in order before the kill.
+pub fn leave(deployment: &Deployment, process: &mut Process) {
+    tell(process, Signal::TERM);
+    ends(deployment, process);
+}
+
+/// A process that was told to leave just now has to end in order before the kill.
+pub fn ends(deployment: &Deployment, process: &mut Process) {
+    let status = process.wait_exit(deployment.stop()).expect("a process of ours");
+    let status = status.expect("the process ends by itself before the kill");
+    assert!(status.success(), "{status}");
+}
+
+/// Light load from several connections, half of it with effects.
+pub fn light_load(deployment: &Deployment) -> Load {
+    Load::start(Plan {
+        address: deployment.listen,
+        clients: 4,
+        depth: 2,
+        pause: Duration::from_millis(10),
+        reconnect: false,
+    })
+}
+
+/// Ends a load that was light: each request has to be served, and no connection may have ended unannounced.
+pub fn all_served(load: Load) {
+    let tally = load.stop().expect("the clients end");
+    assert!(tally.sent > 0, "nothing was sent");
+    assert_eq!(tally.ended_without_answer(), 0, "{tally:?}");
+    assert_eq!(tally.served, tally.sent, "{tally:?}");
+}
+
+/// How often a body was run by all of these engines.
+pub fn runs_of(body: &str, engines: &[&Engine]) -> usize {
+    engines.iter().map(|engine| engine.runs_of(body)).sum()
+}
+
+/// No body was run twice, whichever engines it reached.
+pub fn no_double_runs(engines: &[&Engine]) {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for engine in engines {
+        for (body, count) in engine.runs() {
+            *runs.entry(body).or_default() += count;
+        }
+    }
+    let doubles: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(doubles.is_empty(), "run more than once: {doubles:?}");
+}
+
+/// The list service heard nothing but that the name is up.
+pub fn never_out(deployment: &Deployment, since: Instant) {
+    let reports = deployment.list.reports_since(since);
+    assert!(!reports.is_empty(), "no reports at all");
+    assert!(reports.iter().all(|report| report.up), "reported OUT");
+}
+
+/// Waits until the health checks of a connection are answered so.
+pub fn await_health(client: &Client, good: bool, limit: Duration) {
+    eventually_within(limit, &format!("health {good}"), || client.ping() == Reply::Health(good));
+}
