Judge reports in a drain only from the first one that was sent in it

A report sent just before the drain may be recorded after the command was answered, on a busy machine. The tests now wait for the first report of the new kind.

--- a/tests/operation/mod.rs
+++ b/tests/operation/mod.rs
@@ -19,6 +19,8 @@
 pub const READY_LIMIT: Duration = Duration::from_secs(6);
 /// An answer of the management port comes within this time.
 pub const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// Reports come several times a second.
+pub const REPORT_LIMIT: Duration = Duration::from_secs(2);
 /// Anything else that is waited for.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 /// Time that a run takes on an engine that ends runs by itself.
@@ -190,3 +192,10 @@
 pub fn await_health(client: &Client, good: bool, limit: Duration) {
     eventually_within(limit, &format!("health {good}"), || client.ping() == Reply::Health(good));
 }
+
+/// Waits until the list service hears a report of this kind; what comes from the returned time on was sent after it.
+pub fn await_report(deployment: &Deployment, up: bool) -> Instant {
+    let since = Instant::now();
+    eventually_within(REPORT_LIMIT, &format!("a report up={up}"), || deployment.list.heard_since(since, up));
+    Instant::now()
+}
