Add pinepoint-handover: messages, both state machines and the Unix socket between them

Cause: an upgrade beside the running process had no way to pass the backlog and the idempotency keys on. Change: a crate of two machines without I/O (predecessor, successor), a bounded frame format, and one file that passes listening sockets by SCM_RIGHTS.

--- /dev/null
+++ b/crates/pinepoint-handover/src/io.rs
@@ -0,0 +1,537 @@
+//! The socket between the two processes: the only file that does I/O. It decides nothing but whom it talks to.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use pinepoint_facts::reasons;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags,
+};
+
+use crate::message::{Hello, Message};
+use crate::ownership::NoPredecessor;
+use crate::wire::{self, Decoder, PREAMBLE_LENGTH, WireError};
+
+/// Name of the socket in the directory that both processes share.
+const SOCKET_NAME: &str = "pinepoint-handover.sock";
+/// Before it is renamed, with the number of the process. Shorter than [`SOCKET_NAME`] for any number.
+const TEMPORARY_PREFIX: &str = ".pphandover";
+/// How long a peer may take for its preamble, and a predecessor for its hello too.
+const GREETING_TIME: Duration = Duration::from_secs(1);
+/// Connections that are being greeted at once.
+const GREETED_AT_ONCE: u32 = 8;
+/// Listening sockets that are passed at most.
+pub const LISTENERS_MOST: usize = 8;
+/// Bytes that wait to be sent at most.
+const QUEUE_BYTES: usize = 8 << 20;
+/// Bytes of one read.
+const READ_BYTES: usize = 16 << 10;
+
+/// Where the predecessor listens.
+pub fn socket_path(shared_directory: &Path) -> PathBuf {
+    shared_directory.join(SOCKET_NAME)
+}
+
+// ---- the successor's side ----
+
+/// A predecessor that said hello.
+pub struct Connected {
+    /// What it said: the first event of the successor's machine.
+    pub hello: Hello,
+    /// Its listening sockets by name, in the order of the hello.
+    pub listeners: Vec<(String, TcpListener)>,
+    /// For messages to it.
+    pub link: Link,
+    /// To be run.
+    pub task: LinkTask,
+}
+
+/// Looks for a predecessor, for [`GREETING_TIME`] at most. The number names the link.
+pub async fn connect(path: &Path, number: u64) -> Result<Connected, NoPredecessor> {
+    let greeted = async { greet_predecessor(path, number).await };
+    within_greeting_time(greeted, NoPredecessor::Silent).await
+}
+
+async fn within_greeting_time<T, E>(work: impl Future<Output = Result<T, E>>, late: E) -> Result<T, E> {
+    let timer = async {
+        Timer::after(GREETING_TIME).await;
+        Err(late)
+    };
+    future::or(work, timer).await
+}
+
+async fn greet_predecessor(path: &Path, number: u64) -> Result<Connected, NoPredecessor> {
+    let mut stream = Async::<UnixStream>::connect(path).await.map_err(|error| not_connected(&error))?;
+    if !is_same_user(&stream) {
+        return Err(NoPredecessor::OtherUser);
+    }
+    stream.write_all(&wire::preamble()).await.map_err(|error| lost_in_greeting(&error))?;
+    let passed = receive_preamble(&stream).await?;
+    let mut decoder = Decoder::default();
+    let hello = receive_hello(&mut stream, &mut decoder).await?;
+    let listeners = named_listeners(&hello, passed)?;
+    let (link, task) = Link::new(number, stream, decoder);
+    Ok(Connected { hello, listeners, link, task })
+}
+
+fn not_connected(error: &io::Error) -> NoPredecessor {
+    match error.kind() {
+        io::ErrorKind::NotFound => NoPredecessor::NoSocket,
+        io::ErrorKind::ConnectionRefused => NoPredecessor::Refused,
+        io::ErrorKind::InvalidInput | io::ErrorKind::PermissionDenied | io::ErrorKind::NotADirectory => {
+            NoPredecessor::BadPath
+        }
+        _ => NoPredecessor::System,
+    }
+}
+
+fn lost_in_greeting(error: &io::Error) -> NoPredecessor {
+    match error.kind() {
+        io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => {
+            NoPredecessor::Closed
+        }
+        _ => NoPredecessor::System,
+    }
+}
+
+impl From<WireError> for NoPredecessor {
+    fn from(error: WireError) -> Self {
+        if error == WireError::Version { NoPredecessor::OtherVersion } else { NoPredecessor::Stranger }
+    }
+}
+
+/// The predecessor's preamble, and the sockets attached to it.
+async fn receive_preamble(stream: &Async<UnixStream>) -> Result<Vec<OwnedFd>, NoPredecessor> {
+    let mut preamble = [0; PREAMBLE_LENGTH];
+    let mut passed = Vec::new();
+    let mut filled = 0;
+    while filled < PREAMBLE_LENGTH {
+        let buffer = &mut preamble[filled..];
+        let n = stream
+            .read_with(|stream| receive_with_sockets(stream, buffer, &mut passed))
+            .await
+            .map_err(|error| lost_in_greeting(&error))?;
+        if n == 0 {
+            return Err(NoPredecessor::Closed);
+        }
+        filled += n;
+    }
+    wire::check_preamble(&preamble)?;
+    Ok(passed)
+}
+
+fn receive_with_sockets(
+    stream: &UnixStream,
+    buffer: &mut [u8],
+    passed: &mut Vec<OwnedFd>,
+) -> io::Result<usize> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS_MOST))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut slices = [IoSliceMut::new(buffer)];
+    let received = rustix::net::recvmsg(stream, &mut slices, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    for message in control.drain() {
+        if let RecvAncillaryMessage::ScmRights(sockets) = message {
+            passed.extend(sockets);
+        }
+    }
+    Ok(received.bytes)
+}
+
+async fn receive_hello(
+    stream: &mut Async<UnixStream>,
+    decoder: &mut Decoder,
+) -> Result<Hello, NoPredecessor> {
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        match decoder.next_message()? {
+            Some(Message::Hello(hello)) => return Ok(hello),
+            Some(_) => return Err(NoPredecessor::Stranger),
+            None => {}
+        }
+        let n = stream.read(&mut buffer).await.map_err(|error| lost_in_greeting(&error))?;
+        if n == 0 {
+            return Err(NoPredecessor::Closed);
+        }
+        decoder.push(&buffer[..n]);
+    }
+}
+
+fn named_listeners(hello: &Hello, passed: Vec<OwnedFd>) -> Result<Vec<(String, TcpListener)>, NoPredecessor> {
+    let all_listen =
+        passed.iter().all(|socket| rustix::net::sockopt::socket_acceptconn(socket).unwrap_or(false));
+    if passed.len() != hello.listeners.len() || !all_listen {
+        return Err(NoPredecessor::BadListeners);
+    }
+    let listeners = passed.into_iter().map(TcpListener::from);
+    Ok(hello.listeners.iter().cloned().zip(listeners).collect())
+}
+
+fn is_same_user(stream: &Async<UnixStream>) -> bool {
+    rustix::net::sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid())
+}
+
+// ---- the predecessor's side ----
+
+reasons! {
+    /// Why a connection to the handover socket is closed.
+    Rejected {
+        /// It comes from another user.
+        OtherUser = "other-user",
+        /// It said nothing in time.
+        Silent = "no-preamble-in-time",
+        /// What it said is no handover.
+        Stranger = "not-a-handover",
+        /// It speaks another version.
+        OtherVersion = "other-version",
+        /// Its connection failed.
+        Closed = "closed-in-preamble",
+        /// Too many are being greeted.
+        TooMany = "too-many-greeted",
+    }
+}
+
+impl From<WireError> for Rejected {
+    fn from(error: WireError) -> Self {
+        if error == WireError::Version { Rejected::OtherVersion } else { Rejected::Stranger }
+    }
+}
+
+/// A successor that has the listening sockets and awaits the hello.
+pub struct Accepted {
+    /// For messages to it.
+    pub link: Link,
+    /// To be run.
+    pub task: LinkTask,
+}
+
+/// The socket on which a predecessor awaits its successor. The file is never removed: a stale one refuses connections.
+pub struct Acceptor {
+    socket: Async<UnixListener>,
+    listeners: Vec<OwnedFd>,
+    greeted: Cell<u32>,
+}
+
+impl Acceptor {
+    /// Listens, in place of whatever is at the path. The listening sockets are passed to each successor, in this order.
+    pub fn bind(path: &Path, listeners: &[&TcpListener]) -> io::Result<Acceptor> {
+        if listeners.len() > LISTENERS_MOST {
+            let wrong =
+                format!("{} listening sockets: {LISTENERS_MOST} can be passed at most", listeners.len());
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, wrong));
+        }
+        let listeners = listeners
+            .iter()
+            .map(|listener| listener.as_fd().try_clone_to_owned())
+            .collect::<Result<_, _>>()?;
+        let temporary = path.with_file_name(format!("{TEMPORARY_PREFIX}{}", std::process::id()));
+        let socket = bind_and_rename(path, &temporary).inspect_err(|_| {
+            let _ = std::fs::remove_file(&temporary);
+        })?;
+        Ok(Acceptor { socket, listeners, greeted: Cell::new(0) })
+    }
+
+    /// Greets all who connect, each in a task of its own, and hands on those who are successors. `first_number` names the first
+    /// link, and those after it the next. It ends when the receiver is gone.
+    pub async fn run(
+        self: Rc<Self>,
+        first_number: u64,
+        executor: Rc<LocalExecutor<'_>>,
+        peers: Sender<Accepted>,
+    ) {
+        let mut number = first_number;
+        while !peers.is_closed() {
+            let closed = async {
+                peers.closed().await;
+                None
+            };
+            let accepted = async { Some(self.socket.accept().await) };
+            match future::or(accepted, closed).await {
+                None => return,
+                Some(Ok((stream, _))) => {
+                    executor.spawn(self.clone().greet(number, stream, peers.clone())).detach();
+                    number += 1;
+                }
+                // No descriptors, or a peer that is gone again.
+                Some(Err(error)) => {
+                    tracing::warn!(%error, "handover-accept");
+                    Timer::after(GREETING_TIME).await;
+                }
+            }
+        }
+    }
+
+    async fn greet(self: Rc<Self>, number: u64, stream: Async<UnixStream>, peers: Sender<Accepted>) {
+        if self.greeted.get() >= GREETED_AT_ONCE {
+            tracing::warn!(reason = %Rejected::TooMany, "handover-rejected");
+            return;
+        }
+        self.greeted.set(self.greeted.get() + 1);
+        let greeted = within_greeting_time(self.greet_successor(number, stream), Rejected::Silent).await;
+        self.greeted.set(self.greeted.get() - 1);
+        match greeted {
+            Ok(accepted) => {
+                let _ = peers.send(accepted).await;
+            }
+            Err(reason) => tracing::warn!(%reason, "handover-rejected"),
+        }
+    }
+
+    async fn greet_successor(
+        &self,
+        number: u64,
+        mut stream: Async<UnixStream>,
+    ) -> Result<Accepted, Rejected> {
+        if !is_same_user(&stream) {
+            return Err(Rejected::OtherUser);
+        }
+        let mut preamble = [0; PREAMBLE_LENGTH];
+        stream.read_exact(&mut preamble).await.map_err(|_| Rejected::Closed)?;
+        if let Err(error) = wire::check_preamble(&preamble) {
+            // To another version this version is told, and nothing is passed.
+            if error == WireError::Version {
+                let _ = stream.write_all(&wire::preamble()).await;
+            }
+            return Err(error.into());
+        }
+        self.send_preamble(&mut stream).await.map_err(|_| Rejected::Closed)?;
+        let (link, task) = Link::new(number, stream, Decoder::default());
+        Ok(Accepted { link, task })
+    }
+
+    async fn send_preamble(&self, stream: &mut Async<UnixStream>) -> io::Result<()> {
+        let preamble = wire::preamble();
+        let sent = stream.write_with(|stream| send_with_sockets(stream, &preamble, &self.listeners)).await?;
+        stream.write_all(&preamble[sent..]).await
+    }
+}
+
+fn bind_and_rename(path: &Path, temporary: &Path) -> io::Result<Async<UnixListener>> {
+    // Of an earlier process with this number.
+    let _ = std::fs::remove_file(temporary);
+    let socket = Async::<UnixListener>::bind(temporary)?;
+    std::fs::set_permissions(temporary, std::fs::Permissions::from_mode(0o600))?;
+    std::fs::rename(temporary, path)?;
+    Ok(socket)
+}
+
+fn send_with_sockets(stream: &UnixStream, bytes: &[u8], sockets: &[OwnedFd]) -> io::Result<usize> {
+    let borrowed: Vec<_> = sockets.iter().map(AsFd::as_fd).collect();
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS_MOST))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    if !borrowed.is_empty() && !control.push(SendAncillaryMessage::ScmRights(&borrowed)) {
+        return Err(io::ErrorKind::InvalidInput.into());
+    }
+    let sent = rustix::net::sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL)?;
+    Ok(sent)
+}
+
+// ---- both sides ----
+
+reasons! {
+    /// Why a link is over.
+    LinkEnd {
+        /// The peer closed it, or has died.
+        PeerClosed = "peer-closed",
+        /// What came is no message.
+        Malformed = "peer-malformed",
+        /// More waits to be sent than may.
+        QueueFull = "peer-queue-full",
+        /// A message does not fit into a frame.
+        MessageTooLong = "message-too-long",
+        /// The system failed.
+        System = "link-system-error",
+        /// This side closed it.
+        Closed = "self-closed",
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkState {
+    Open,
+    /// What waits is still sent.
+    Finishing,
+    Over(LinkEnd),
+}
+
+struct LinkInner {
+    number: u64,
+    state: Cell<LinkState>,
+    queue: RefCell<VecDeque<Vec<u8>>>,
+    queued_bytes: Cell<usize>,
+    wake: Sender<()>,
+}
+
+/// Messages to a peer. It never waits: what cannot be sent at once is queued under a bound.
+#[derive(Clone)]
+pub struct Link {
+    inner: Rc<LinkInner>,
+}
+
+impl Link {
+    fn new(number: u64, stream: Async<UnixStream>, decoder: Decoder) -> (Link, LinkTask) {
+        let (wake, woken) = async_channel::bounded(1);
+        let inner = Rc::new(LinkInner {
+            number,
+            state: Cell::new(LinkState::Open),
+            queue: RefCell::default(),
+            queued_bytes: Cell::new(0),
+            wake,
+        });
+        let link = Link { inner };
+        (link.clone(), LinkTask { link, stream, decoder, woken })
+    }
+
+    /// Names this link: messages of an earlier one are told apart by it.
+    pub fn number(&self) -> u64 {
+        self.inner.number
+    }
+
+    /// Queues a message. One that does not fit ends the link, which [`LinkTask::run`] tells.
+    pub fn send(&self, message: &Message) {
+        if self.inner.state.get() != LinkState::Open {
+            return;
+        }
+        match wire::encode(message) {
+            Ok(frame) => self.enqueue(frame),
+            Err(_) => self.end(LinkEnd::MessageTooLong),
+        }
+    }
+
+    /// Sends what waits, and then ends.
+    pub fn finish(&self) {
+        if self.inner.state.get() == LinkState::Open {
+            self.inner.state.set(LinkState::Finishing);
+            self.wake();
+        }
+    }
+
+    /// Ends at once.
+    pub fn close(&self) {
+        self.end(LinkEnd::Closed);
+    }
+
+    fn enqueue(&self, frame: Vec<u8>) {
+        let queued = self.inner.queued_bytes.get() + frame.len();
+        if queued > QUEUE_BYTES {
+            self.end(LinkEnd::QueueFull);
+            return;
+        }
+        self.inner.queued_bytes.set(queued);
+        self.inner.queue.borrow_mut().push_back(frame);
+        self.wake();
+    }
+
+    fn end(&self, why: LinkEnd) {
+        if !matches!(self.inner.state.get(), LinkState::Over(_)) {
+            self.inner.state.set(LinkState::Over(why));
+            self.inner.queue.borrow_mut().clear();
+            self.wake();
+        }
+    }
+
+    fn wake(&self) {
+        // It is full where a wake-up waits already.
+        let _ = self.inner.wake.try_send(());
+    }
+}
+
+/// The sending and receiving of a link.
+pub struct LinkTask {
+    link: Link,
+    stream: Async<UnixStream>,
+    decoder: Decoder,
+    woken: Receiver<()>,
+}
+
+impl LinkTask {
+    /// Hands on each message until the link is over, and says why it is.
+    pub async fn run(self, mut deliver: impl FnMut(Message)) -> LinkEnd {
+        let LinkTask { link, stream, mut decoder, woken } = self;
+        let end = future::or(
+            write_messages(&link, &stream, &woken),
+            read_messages(&link, &stream, &mut decoder, &mut deliver),
+        )
+        .await;
+        link.end(end);
+        end
+    }
+}
+
+/// Sends what is queued. A peer that is gone is the reader's to tell: what it sent before is still read.
+async fn write_messages(link: &Link, stream: &Async<UnixStream>, woken: &Receiver<()>) -> LinkEnd {
+    let mut stream = stream;
+    loop {
+        if let LinkState::Over(why) = link.inner.state.get() {
+            return why;
+        }
+        let next = link.inner.queue.borrow_mut().pop_front();
+        match next {
+            Some(frame) => {
+                let ended = async { wait_until_over(link, woken).await };
+                let written = async { stream.write_all(&frame).await.map_err(|_| None) };
+                let written = future::or(written, async { Err(Some(ended.await)) }).await;
+                match written {
+                    Ok(()) => link.inner.queued_bytes.set(link.inner.queued_bytes.get() - frame.len()),
+                    Err(Some(why)) => return why,
+                    Err(None) => return wait_until_over(link, woken).await,
+                }
+            }
+            None if link.inner.state.get() == LinkState::Finishing => return LinkEnd::Closed,
+            None => {
+                let _ = woken.recv().await;
+            }
+        }
+    }
+}
+
+async fn wait_until_over(link: &Link, woken: &Receiver<()>) -> LinkEnd {
+    loop {
+        if let LinkState::Over(why) = link.inner.state.get() {
+            return why;
+        }
+        let _ = woken.recv().await;
+    }
+}
+
+async fn read_messages(
+    link: &Link,
+    stream: &Async<UnixStream>,
+    decoder: &mut Decoder,
+    deliver: &mut impl FnMut(Message),
+) -> LinkEnd {
+    let mut stream = stream;
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        loop {
+            if let LinkState::Over(why) = link.inner.state.get() {
+                return why;
+            }
+            match decoder.next_message() {
+                Ok(Some(message)) => deliver(message),
+                Ok(None) => break,
+                Err(_) => return LinkEnd::Malformed,
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) => return LinkEnd::PeerClosed,
+            Ok(n) => decoder.push(&buffer[..n]),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => return LinkEnd::PeerClosed,
+            Err(_) => return LinkEnd::System,
+        }
+    }
+}
