--- a/crates/pinepoint-handover/src/io.rs
+++ b/crates/pinepoint-handover/src/io.rs
@@ -63,8 +63,7 @@
 
 /// Looks for a predecessor, for [`GREETING_TIME`] at most. The number names the link.
 pub async fn connect(path: &Path, number: u64) -> Result<Connected, NoPredecessor> {
-    let greeted = async { greet_predecessor(path, number).await };
-    within_greeting_time(greeted, NoPredecessor::Silent).await
+    within_greeting_time(greet_predecessor(path, number), NoPredecessor::Silent).await
 }
 
 async fn within_greeting_time<T, E>(work: impl Future<Output = Result<T, E>>, late: E) -> Result<T, E> {
@@ -474,7 +473,6 @@
 
 /// Sends what is queued. A peer that is gone is the reader's to tell: what it sent before is still read.
 async fn write_messages(link: &Link, stream: &Async<UnixStream>, woken: &Receiver<()>) -> LinkEnd {
-    let mut stream = stream;
     loop {
         if let LinkState::Over(why) = link.inner.state.get() {
             return why;
@@ -482,13 +480,12 @@
         let next = link.inner.queue.borrow_mut().pop_front();
         match next {
             Some(frame) => {
-                let ended = async { wait_until_over(link, woken).await };
-                let written = async { stream.write_all(&frame).await.map_err(|_| None) };
-                let written = future::or(written, async { Err(Some(ended.await)) }).await;
-                match written {
-                    Ok(()) => link.inner.queued_bytes.set(link.inner.queued_bytes.get() - frame.len()),
-                    Err(Some(why)) => return why,
-                    Err(None) => return wait_until_over(link, woken).await,
+                let over = async { Err(wait_until_over(link, woken).await) };
+                let written = async { Ok(write_frame(stream, &frame).await) };
+                match future::or(written, over).await {
+                    Ok(true) => link.inner.queued_bytes.set(link.inner.queued_bytes.get() - frame.len()),
+                    Ok(false) => return wait_until_over(link, woken).await,
+                    Err(why) => return why,
                 }
             }
             None if link.inner.state.get() == LinkState::Finishing => return LinkEnd::Closed,
@@ -499,6 +496,11 @@
     }
 }
 
+/// Whether it was written.
+async fn write_frame(mut stream: &Async<UnixStream>, frame: &[u8]) -> bool {
+    stream.write_all(frame).await.is_ok()
+}
+
 async fn wait_until_over(link: &Link, woken: &Receiver<()>) -> LinkEnd {
     loop {
         if let LinkState::Over(why) = link.inner.state.get() {
@@ -529,7 +531,11 @@
         }
         match stream.read(&mut buffer).await {
             Ok(0) => return LinkEnd::PeerClosed,
-            Ok(n) => decoder.push(&buffer[..n]),
+            Ok(n) => {
+                decoder.push(&buffer[..n]);
+                // However much comes, others have their turn.
+                future::yield_now().await;
+            }
             Err(error) if error.kind() == io::ErrorKind::ConnectionReset => return LinkEnd::PeerClosed,
             Err(_) => return LinkEnd::System,
         }
--- a/crates/pinepoint-handover/src/predecessor.rs
+++ b/crates/pinepoint-handover/src/predecessor.rs
@@ -2,6 +2,7 @@
 //! key that it does not know. No I/O, no clock: events and the time go in, actions come out.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::message::{Claim, Hello, Key, KeyRecord, KeyState, Message, key_messages};
 use crate::ownership::{Denial, Drop, Fault, Rules, UnknownKey};
@@ -89,7 +90,7 @@
 }
 
 /// The machine.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Predecessor {
     rules: Rules,
     phase: Phase,
@@ -102,6 +103,31 @@
     claims: BTreeMap<u64, PendingClaim>,
 }
 
+/// What changes: not the rules, and not the key of the digests, which is a secret.
+impl fmt::Debug for Predecessor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Predecessor {
+            rules: _,
+            listeners: _,
+            digest_key: _,
+            phase,
+            leaving,
+            drained,
+            connections,
+            keys_unknown_until_ms,
+            claims,
+        } = self;
+        f.debug_struct("Predecessor")
+            .field("phase", phase)
+            .field("leaving", leaving)
+            .field("drained", drained)
+            .field("connections", connections)
+            .field("keys_unknown_until_ms", keys_unknown_until_ms)
+            .field("claims", claims)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Predecessor {
     /// Of a process that begins to serve, with the names of its listening sockets and the key of its digests.
     pub fn new(rules: Rules, listeners: Vec<String>, digest_key: [u8; 16]) -> Predecessor {
--- a/crates/pinepoint-handover/src/successor.rs
+++ b/crates/pinepoint-handover/src/successor.rs
@@ -1,6 +1,8 @@
 //! The process that starts beside another: it takes listening sockets and keys over, and from then on says which keys the
 //! predecessor may still run. No I/O, no clock: events and the time go in, actions come out.
 
+use std::fmt;
+
 use crate::message::{Claim, Hello, KeyRecord, Message};
 use crate::ownership::{Drop, NoPredecessor, Rules, UnknownKey};
 
@@ -81,7 +83,7 @@
 }
 
 /// The machine.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Successor {
     rules: Rules,
     phase: Phase,
@@ -96,6 +98,31 @@
     keys_unknown_until_ms: f64,
 }
 
+/// What changes: not the rules.
+impl fmt::Debug for Successor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Successor {
+            rules: _,
+            phase,
+            is_engine_up,
+            is_serving,
+            attempts,
+            met_predecessor,
+            drained,
+            keys_unknown_until_ms,
+        } = self;
+        f.debug_struct("Successor")
+            .field("phase", phase)
+            .field("is_engine_up", is_engine_up)
+            .field("is_serving", is_serving)
+            .field("attempts", attempts)
+            .field("met_predecessor", met_predecessor)
+            .field("drained", drained)
+            .field("keys_unknown_until_ms", keys_unknown_until_ms)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Successor {
     /// Of a process that starts, and looks for a predecessor.
     pub fn new(rules: Rules) -> Successor {
