--- a/crates/pinepoint-handover/src/io.rs
+++ b/crates/pinepoint-handover/src/io.rs
@@ -8,7 +8,7 @@
 use std::net::TcpListener;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
-use std::os::unix::net::{UnixListener, UnixStream};
+use std::os::unix::net::{SocketAddr, UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,6 +75,7 @@
 }
 
 async fn greet_predecessor(path: &Path, number: u64) -> Result<Connected, NoPredecessor> {
+    SocketAddr::from_pathname(path).map_err(|_| NoPredecessor::BadPath)?;
     let mut stream = Async::<UnixStream>::connect(path).await.map_err(|error| not_connected(&error))?;
     if !is_same_user(&stream) {
         return Err(NoPredecessor::OtherUser);
@@ -92,9 +93,10 @@
     match error.kind() {
         io::ErrorKind::NotFound => NoPredecessor::NoSocket,
         io::ErrorKind::ConnectionRefused => NoPredecessor::Refused,
-        io::ErrorKind::InvalidInput | io::ErrorKind::PermissionDenied | io::ErrorKind::NotADirectory => {
-            NoPredecessor::BadPath
-        }
+        io::ErrorKind::InvalidInput
+        | io::ErrorKind::InvalidFilename
+        | io::ErrorKind::PermissionDenied
+        | io::ErrorKind::NotADirectory => NoPredecessor::BadPath,
         _ => NoPredecessor::System,
     }
 }
@@ -233,6 +235,8 @@
                 format!("{} listening sockets: {LISTENERS_MOST} can be passed at most", listeners.len());
             return Err(io::Error::new(io::ErrorKind::InvalidInput, wrong));
         }
+        // The temporary name is shorter: what could be bound might not be connected to.
+        SocketAddr::from_pathname(path)?;
         let listeners = listeners
             .iter()
             .map(|listener| listener.as_fd().try_clone_to_owned())
