--- a/crates/pinepoint-handover/src/io.rs
+++ b/crates/pinepoint-handover/src/io.rs
@@ -61,7 +61,7 @@
     pub task: LinkTask,
 }
 
-/// Looks for a predecessor, for [`GREETING_TIME`] at most. The number names the link.
+/// Looks for a predecessor, for a second at most. The number names the link.
 pub async fn connect(path: &Path, number: u64) -> Result<Connected, NoPredecessor> {
     within_greeting_time(greet_predecessor(path, number), NoPredecessor::Silent).await
 }
--- a/crates/pinepoint-handover/src/successor.rs
+++ b/crates/pinepoint-handover/src/successor.rs
@@ -6,6 +6,9 @@
 use crate::message::{Claim, Hello, KeyRecord, Message};
 use crate::ownership::{Drop, NoPredecessor, Rules, UnknownKey};
 
+/// How long to wait before another attempt to connect, ms.
+pub const RECONNECT_MS: f64 = 50.0;
+
 /// How far the take-over is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
@@ -58,7 +61,7 @@
 pub enum Action {
     /// Send this to the predecessor.
     Send(Message),
-    /// Look for the predecessor again, at once.
+    /// Look for the predecessor again, after [`RECONNECT_MS`]: it may not have noticed yet that the link is over.
     Reconnect,
     /// Drop the link, and forget it.
     DropPeer(Drop),
--- a/crates/pinepoint-handover/tests/model.rs
+++ b/crates/pinepoint-handover/tests/model.rs
@@ -1,7 +1,7 @@
 //! Every course of two processes, one key, tries at either, one crash at any step, one cut of the link, SIGTERM at any step, and
 //! time that passes: at most one effect of the key in its window, one answer for each try that a living process has read, and
 //! somebody accepts whenever somebody can. The program's own machines are run; the key tables around them are the least that a
-//! core has to do. Two faults that are built in have to be found.
+//! core has to do. Two faults that are built in have to be found. `HANDOVER_TRIES` sets the number of tries.
 
 use std::collections::{HashSet, VecDeque};
 use std::fmt::Write;
@@ -16,6 +16,8 @@
 const EXIT_MS: f64 = 5_000.0;
 /// Longer than any wait of the machines, shorter than a window.
 const LATE_MS: f64 = 5_000.0;
+/// Tries, where `HANDOVER_TRIES` says nothing else.
+const TRIES: usize = 2;
 const OLD: usize = 0;
 const NEW: usize = 1;
 
@@ -588,9 +590,13 @@
     search
 }
 
+fn tries() -> usize {
+    std::env::var("HANDOVER_TRIES").ok().and_then(|text| text.parse().ok()).unwrap_or(TRIES)
+}
+
 #[test]
 fn no_course_runs_a_key_twice_leaves_a_try_unanswered_or_leaves_nobody_accepting() {
-    let search = search(None, 2);
+    let search = search(None, tries());
     println!("{} states", search.seen.len());
     assert!(search.wrong.is_none(), "after {} states: {:#?}", search.seen.len(), search.wrong);
 }
@@ -600,7 +606,7 @@
     for (fault, expected) in
         [(Fault::RunUnclaimed, "a second effect"), (Fault::StopAtHello, "nobody accepts")]
     {
-        let search = search(Some(fault), 2);
+        let search = search(Some(fault), tries());
         println!("{fault:?} after {} states: {:?}", search.seen.len(), search.wrong);
         let wrong = search.wrong.map(|(_, wrong)| wrong).unwrap_or_default();
         assert!(wrong.contains(expected), "{fault:?} in {} states: {wrong}", search.seen.len());
