--- a/crates/pinepoint-handover/src/lib.rs
+++ b/crates/pinepoint-handover/src/lib.rs
@@ -24,6 +24,8 @@
 //! - Hand messages and ends of links to the machine that owns the link, by [`io::Link::number`], and drop those of earlier links.
 //! - Before it runs a key that it does not know, or knows as over: [`predecessor::Predecessor::unknown_key`]. While a claim waits,
 //!   further tries of its key wait for the same claim. A granted claim is entered as held, and is told as a change.
+//! - `until_ms` of a key is the end of its window, but not earlier than its request is due: a request that were held beyond would
+//!   be told that it never ran while the other process runs a later one.
 //! - An import never replaces a record of its own. A claim is granted only if the key is unknown or over, and this process may
 //!   run unknown keys; the record is then the predecessor's.
 //! - Events that are due come from `next_due` of both machines.
--- a/crates/pinepoint-handover/src/message.rs
+++ b/crates/pinepoint-handover/src/message.rs
@@ -47,7 +47,7 @@
     pub key: Key,
     /// Digest of the request's body, under the digest key of [`Hello`].
     pub digest: u64,
-    /// No other try that arrived before this may run, Unix ms.
+    /// No other try that arrived before this may run, Unix ms. Not earlier than the request is due: it is not held beyond.
     pub until_ms: f64,
     /// Its state.
     pub state: KeyState,
--- a/crates/pinepoint-handover/tests/model.rs
+++ b/crates/pinepoint-handover/tests/model.rs
@@ -261,6 +261,7 @@
 
     fn pass(&mut self, ms: f64) {
         self.now_ms += ms;
+        self.give_up_held();
         if self.processes[OLD].is_alive {
             self.tell_old(predecessor::Event::Tick);
         }
@@ -269,6 +270,18 @@
         }
     }
 
+    /// A held request does not outlive its window: it is given up before.
+    fn give_up_held(&mut self) {
+        for side in [OLD, NEW] {
+            let is_late = self.processes[side].entry.as_ref().is_some_and(|entry| {
+                entry.is_own && entry.state == KeyState::Held && self.now_ms >= entry.until_ms
+            });
+            if is_late {
+                self.set_own(side, KeyState::Released);
+            }
+        }
+    }
+
     fn connect(&mut self) {
         self.wants_to_connect = false;
         self.spent.connect |= self.processes[OLD].is_alive;
