--- a/src/brain.rs
+++ b/src/brain.rs
@@ -165,7 +165,7 @@
 const NOTE_EVERY: u32 = 50;
 
 /// A PI controller with clamped output and clamped integral (anti-windup).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Pi {
     kp: f64,
     ki: f64,
@@ -217,11 +217,23 @@
     called_ms: f64,
 }
 
+#[derive(Clone, Debug)]
+struct Random(Pcg64Mcg);
+
+impl Default for Random {
+    fn default() -> Self {
+        Random(Pcg64Mcg::new(0))
+    }
+}
+
 /// Decides for one server. Feed it events in order and carry out the actions.
 #[derive(Clone, Debug)]
-pub struct Controller {
+pub struct Controller(Module);
+
+#[derive(Clone, Debug, Default)]
+struct Module {
     set: Settings,
-    rng: Pcg64Mcg,
+    rng: Random,
     entries: BTreeMap<u32, Entry>,
     fresh: VecDeque<u32>,
     keys: BTreeMap<u32, f64>,
@@ -280,72 +292,67 @@
 
 impl Controller {
     /// A controller for a server that starts with these settings; `seed` feeds its only random numbers.
-    pub fn new(mut settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        settings.servers = settings.servers.max(1.0);
-        let tenants = settings.tenants.len();
-        Ok(Controller {
-            rng: Pcg64Mcg::new(u128::from(seed)),
-            entries: BTreeMap::new(),
-            fresh: VecDeque::new(),
-            keys: BTreeMap::new(),
-            began_ms: 0.0,
-            leave: None,
-            sampled_ms: 0.0,
-            runnable: 0.0,
-            started_since: 0.0,
-            arrived_since: 0.0,
-            busy: 0.0,
-            rate_per_s: 0.0,
+        let mut new = Module {
+            rng: Random(Pcg64Mcg::new(u128::from(seed))),
             alpha_loop: Pi { kp: BUSY_KP, ki: BUSY_KI, integral: 0.0 },
             start_loop: Pi { kp: START_KP, ki: START_KI, integral: 0.0 },
-            alpha: 0.0,
-            credit: 0.0,
-            start_rate: 0.0,
-            turned_away: BTreeMap::new(),
             core_share: 1.0,
-            share_total: 0.0,
-            work: settings.classes.iter().map(|_| (0.0, 0.0, 0.0)).collect(),
             stretch: if settings.cold { 1.0 / settings.rules.cold_speed.clamp(0.05, 1.0) } else { 1.0 },
-            run_ms: 0.0,
             hints: (HINT_FIRST * FEW_SEEN, FEW_SEEN),
-            scores: VecDeque::new(),
-            tenant_rate: vec![0.0; tenants],
-            tenant_since: vec![0.0; tenants],
-            waits_ms: settings.classes.iter().map(|c| c.deadline_ms).collect(),
-            abandoned: Vec::new(),
             call_ms: FIRST_CALL_MS,
-            calls_per_run: settings.classes.iter().map(|c| if c.calls { 1.0 } else { 0.0 }).collect(),
             part_at_call: FIRST_PART_AT_CALL,
-            call_failures: 0.0,
             calls_from_ms: f64::NEG_INFINITY,
-            call_credit_ms: 0.0,
-            calls_in_hand: 0.0,
-            calls_charged: 0.0,
-            calls_paid_ms: 0.0,
-            idle_kept_ms: settings.idle_ms,
             healthy: true,
-            hung: false,
-            progress_ms: 0.0,
-            dead: 0.0,
-            intake_ms: 0.0,
             least_intake_ms: f64::INFINITY,
-            busy_slow: 0.0,
-            crowd: 0.0,
-            turned_share: 0.0,
-            retried: 0.0,
-            said: f64::NAN,
-            set: settings,
-        })
+            ..Module::default()
+        };
+        new.take_settings(settings);
+        Ok(Controller(new))
+    }
+
+    /// Goes on under these settings. The classes and tenants there were keep their indexes, more may follow;
+    /// what was learned, and due time and aim of what is open, stay as they are.
+    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        settings.check()?;
+        let (old, tenants) = (&self.0.set, settings.tenants.len());
+        if settings.classes.len() < old.classes.len() || tenants < old.tenants.len() {
+            return Err(SettingsError::Removed);
+        }
+        self.0.take_settings(Settings { cold: old.cold, ..settings });
+        Ok(())
     }
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        self.0.handle(now, event, out);
+    }
+}
+
+impl Module {
+    /// Puts settings in force. What has no figures of its own yet gets the first ones.
+    fn take_settings(&mut self, mut settings: Settings) {
+        settings.servers = settings.servers.max(1.0);
+        for class in &settings.classes[self.work.len()..] {
+            self.work.push((0.0, 0.0, 0.0));
+            self.waits_ms.push(class.deadline_ms);
+            self.calls_per_run.push(if class.calls { 1.0 } else { 0.0 });
+        }
+        self.tenant_rate.resize(settings.tenants.len(), 0.0);
+        self.tenant_since.resize(settings.tenants.len(), 0.0);
+        // What callers were told before holds no longer if it meant something else.
+        self.said = if settings.advice == self.set.advice { self.said } else { f64::NAN };
+        if settings.idle_ms != self.set.idle_ms {
+            self.idle_kept_ms = settings.idle_ms;
+        }
+        self.set = settings;
+    }
+
+    fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Begin => {
-                self.began_ms = now;
-                self.sampled_ms = now;
-                self.calls_paid_ms = now;
+                (self.began_ms, self.sampled_ms, self.calls_paid_ms) = (now, now, now);
                 out.push(Action::Health { good: true, from_store: true });
                 self.close_idle(0.0, out);
                 out.push(Action::Timer { after_ms: self.period_ms(), token: 0 });
@@ -566,7 +573,7 @@
     /// worthy first. What is about alike is told apart by chance: estimates drift, and a class that just
     /// became a little dearer than its own recent past would be refused whole at any alpha.
     fn rank(&mut self, score: f64) -> f64 {
-        let chance = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let chance = f64::from(self.rng.0.next_u32()) / f64::from(u32::MAX);
         let score = score * (1.0 + ALIKE * (2.0 * chance - 1.0));
         let less = self.scores.iter().filter(|s| **s < score).count() as f64;
         let rank = (less + chance) / (self.scores.len() as f64 + 1.0);
@@ -661,7 +668,7 @@
     /// slow server serves nobody's allowance, and would take everything from the one that floods the fleet.
     fn within_share(&self, tenant: Option<usize>) -> f64 {
         let Some(t) = tenant else { return 1.0 };
-        let all: f64 = self.set.tenants.iter().map(|t| t.allowance_per_s).sum();
+        let all: f64 = self.set.tenants.iter().filter(|t| !t.retired).map(|t| t.allowance_per_s).sum();
         let served = self.tenant_rate.iter().sum::<f64>() / all.max(1e-9);
         let allowed = self.set.tenants[t].allowance_per_s * served.min(1.0 / self.set.servers);
         let within = (allowed / self.tenant_rate[t].max(1e-9)).min(1.0).powi(2);
@@ -675,13 +682,10 @@
         }
         let mine = self.score(entry, now);
         let mut ahead = self.work_ms(&entry.request) * 0.5;
-        for other in self.entries.values() {
-            if other.state == State::Held
-                && other.request.id != entry.request.id
-                && self.score(other, now) >= mine
-            {
-                ahead += self.work_ms(&other.request);
-            }
+        let held = self.entries.values().filter(|e| e.state == State::Held);
+        let others = held.filter(|other| other.request.id != entry.request.id);
+        for other in others.filter(|other| self.score(other, now) >= mine) {
+            ahead += self.work_ms(&other.request);
         }
         ahead / (self.run_limit() * self.core_share)
     }
--- a/src/brain/view.rs
+++ b/src/brain/view.rs
@@ -1,7 +1,7 @@
 //! A read-only view of the decision module, for those that watch it. It owns no state and decides nothing: were
 //! it removed, no action would change.
 
-use super::{Controller, State};
+use super::{Controller, Module, State};
 
 /// What a [`Controller`] knows and wants at one instant.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,6 +76,12 @@
 impl Controller {
     /// The state at the last event.
     pub fn view(&self) -> View {
+        self.0.view()
+    }
+}
+
+impl Module {
+    fn view(&self) -> View {
         View {
             refusal_share: self.alpha,
             start_rate_per_s: self.start_rate,
--- /dev/null
+++ b/src/deployment.rs
@@ -0,0 +1,30 @@
+//! The settings in force, as all parts of the process share them. It owns which they are; it must never change them in
+//! place: who holds an older version keeps a consistent one.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use crate::settings::Site;
+
+/// The settings in force.
+#[derive(Debug)]
+pub struct Deployment {
+    site: RefCell<Rc<Site>>,
+}
+
+impl Deployment {
+    /// The settings that the process starts with.
+    pub fn new(site: Rc<Site>) -> Self {
+        Deployment { site: RefCell::new(site) }
+    }
+
+    /// The settings in force now.
+    pub fn site(&self) -> Rc<Site> {
+        self.site.borrow().clone()
+    }
+
+    /// Puts others in force, which [`Site::merged_with`] made of these.
+    pub fn replace(&self, site: Rc<Site>) {
+        *self.site.borrow_mut() = site;
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,8 @@
     NoClasses,
     /// The named figure is below 0 or above [`FIGURE_MOST`], or no number at all.
     Figure(&'static str),
+    /// Fewer classes or tenants than before: what is open refers to them by index.
+    Removed,
 }
 
 /// Largest figure that settings may hold: as milliseconds over thirty years, as kilobytes a petabyte. Sums and products
@@ -101,6 +103,7 @@
         match self {
             SettingsError::NoCores => f.write_str("a server needs at least one core"),
             SettingsError::NoClasses => f.write_str("at least one class of requests is needed"),
+            SettingsError::Removed => f.write_str("classes and tenants in use must keep their indexes"),
             SettingsError::Figure(name) => write!(f, "{name} is not a number from 0 to {FIGURE_MOST:e}"),
         }
     }
@@ -234,10 +237,12 @@
 }
 
 /// One tenant.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Tenant {
     /// Requests a second, over all servers, within its allowance.
     pub allowance_per_s: f64,
+    /// It is no longer one of the site's: its allowance holds for what it has open, and adds nothing to the sum of all.
+    pub retired: bool,
 }
 
 /// What callers make of the free value.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,8 @@
 #![warn(missing_docs)]
 
 mod brain;
+pub mod configuration;
+pub mod deployment;
 mod interface;
 pub mod node;
 pub mod settings;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -462,7 +462,7 @@
                 self.parts.engine.halt(&open.rid);
                 open.commanded = self.asks;
             } else if unread(open.commanded) && open.phase == Phase::Running {
-                let name = class_name(&self.parts.site, open.class);
+                let name = self.parts.site.class_name(open.class);
                 self.parts.engine.run(&open.rid, name, &open.body);
                 open.commanded = self.asks;
             }
@@ -813,7 +813,7 @@
         open.commanded = self.asks;
         count(&self.parts.counters.runs);
         if self.engine_up && self.barrier.is_none() {
-            self.parts.engine.run(&open.rid, class_name(&self.parts.site, open.class), &open.body);
+            self.parts.engine.run(&open.rid, self.parts.site.class_name(open.class), &open.body);
         }
         self.note_of(id, |_| Kind::Decided(Decision::Run));
         self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
@@ -921,7 +921,3 @@
         None => false,
     }
 }
-
-fn class_name(site: &Site, class: usize) -> &str {
-    site.class_names.iter().find(|(_, index)| **index == class).map_or("", |(name, _)| name.as_str())
-}
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -65,10 +65,8 @@
 /// Begins to count and to send what the setup says.
 pub fn start(setup: &Setup, host: Host) -> Rc<Telemetry> {
     let Host { name, site, seed, clock, executor, queue, counters } = host;
-    let mut names = vec![String::new(); site.settings.classes.len()];
-    for (name, class) in &site.class_names {
-        names[*class].clone_from(name);
-    }
+    let names: Vec<String> =
+        (0..site.settings.classes.len()).map(|class| site.class_name(class).to_owned()).collect();
     let node: Vec<&'static str> = counters.list().into_iter().map(|(name, _)| name).collect();
     let module = View::NAMES;
     let class = |class: &crate::Class| Class {
