Put changed settings in force at SIGHUP, whole or not at all

A reload only moved addresses. node/reload.rs now reads a successor of the configuration in force and gives it to the core through its queue, then to the fronts, the room and the links; a file that cannot be used changes nothing. Fronts look classes and tenants up by name in the settings in force. Counters reloads and reloads_failed.

--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -20,9 +20,11 @@
 use clap::{Parser, Subcommand};
 use futures_lite::{StreamExt, future};
 
+use pinepoint::deployment::Deployment;
 use pinepoint::node::core::{Core, Parts};
 use pinepoint::node::counters::Counters;
 use pinepoint::node::listen::{self, Door, Front, Room};
+use pinepoint::node::reload::Reloader;
 use pinepoint::node::status::Status;
 use pinepoint::node::{ajp, fleet, links, rpc, telemetry};
 use pinepoint_clock::Clock;
@@ -132,17 +134,11 @@
     Ok(file.map_or_else(|| Ok(Edge::default()), Edge::read)?)
 }
 
-/// Moves the links to where the configuration says now, and telemetry to the receivers of the edge file. A file that
+/// Puts the configuration in force as it is now, and moves telemetry to the receivers of the edge file. A file that
 /// cannot be used changes nothing: it may be half written, and a program that ends or loses its links on SIGHUP loses
 /// every request it holds.
-fn reload(peers: &links::Peers, telemetry: Option<&Telemetry>, edge: Option<&Path>) {
-    match configuration() {
-        Ok(Config { engine, store, members, .. }) => {
-            peers.set(engine, store, members);
-            tracing::info!(%engine, %store, %members, "reloaded");
-        }
-        Err(error) => tracing::error!(addresses = "kept", %error, "reload-failed"),
-    }
+async fn reload(reloader: &mut Reloader, telemetry: Option<&Telemetry>, edge: Option<&Path>) {
+    reloader.reload().await;
     let Some(telemetry) = telemetry else { return };
     match read_edge(edge) {
         Ok(edge) => {
@@ -298,7 +294,8 @@
 fn serve(config: Config, edge: Edge, edge_file: Option<PathBuf>, mut signs: Signs) -> Result<(), StartError> {
     let reserved = (config.sockets / RESERVED_PART).clamp(RESERVED_LEAST, RESERVED_MOST);
     let connections = config.sockets.saturating_sub(reserved).max(1);
-    let Config { name, site, seed, .. } = config;
+    let (name, site, seed) = (config.name.clone(), config.site.clone(), config.seed);
+    let deployment = Rc::new(Deployment::new(site.clone()));
     let clock = Clock::system();
     let status = Rc::new(Status::default());
     let counters = Rc::new(Counters::default());
@@ -364,7 +361,7 @@
         doors: room.clone(),
     });
     let front = Rc::new(Front {
-        site,
+        deployment: deployment.clone(),
         status: status.clone(),
         counters: counters.clone(),
         observer,
@@ -393,16 +390,25 @@
             ))
             .detach();
     }
+    let mut reloader = Reloader {
+        file: named_config().ok_or(StartError::NoConfig)?,
+        config,
+        deployment,
+        peers: peers.clone(),
+        room,
+        counters: counters.clone(),
+        clock: clock.clone(),
+        queue: queue.clone(),
+    };
     let on_signal = {
-        let (clock, counters, peers, status) =
-            (clock.clone(), counters.clone(), peers.clone(), status.clone());
+        let (clock, counters, status) = (clock.clone(), counters.clone(), status.clone());
         let telemetry = telemetry.clone();
         async move {
             loop {
                 match signs.next(&clock).await {
                     Signal::Usr1 => counters.print(),
                     Signal::Hup => {
-                        reload(&peers, telemetry.as_deref(), edge_file.as_deref());
+                        reload(&mut reloader, telemetry.as_deref(), edge_file.as_deref()).await;
                         status.report.wake();
                     }
                     _ => {
@@ -421,7 +427,7 @@
     executor.spawn(or_off("members", members)).detach();
     let own = front.clone();
     let serve = move |stream, guest| rpc::serve(stream, guest, own.clone());
-    let door = Door::new(listener, &room);
+    let door = Door::new(listener, &front.room);
     executor.spawn(listen::listen("rpc", door, connections, front, executor.clone(), serve)).detach();
     tracing::info!(name, listen = %address, "started");
     let last_ms = edge.telemetry.last_ms.get() as f64;
--- a/src/node/ajp.rs
+++ b/src/node/ajp.rs
@@ -265,7 +265,7 @@
     }
 
     /// The request for the core, without its body and its caller.
-    fn request(&self, site: &Site, secret: Option<&str>) -> Result<Head, Status> {
+    fn request(&self, site: &Site, now_ms: f64, secret: Option<&str>) -> Result<Head, Status> {
         if secret.is_some() && secret != self.secret.as_deref() {
             return Err(Status(403));
         }
@@ -274,7 +274,7 @@
             return Err(Status(400));
         }
         let name = self.path.strip_prefix('/').unwrap_or_default();
-        let class = *site.class_names.get(name).ok_or(Status(404))?;
+        let class = site.class_of(name, now_ms).ok_or(Status(404))?;
         let token = self.word("token")?;
         if site.settings.classes[class].effect == Effect::Keyed && token.is_none() {
             return Err(Status(400));
@@ -520,11 +520,12 @@
         Ok(length) => length,
         Err(Status(status)) => return bad(status, false),
     };
-    let head = match forward.request(&front.site, options.secret.as_deref()) {
+    let site = front.deployment.site();
+    let head = match forward.request(&site, t0, options.secret.as_deref()) {
         Ok(head) => head,
         Err(Status(status)) => return bad(status, length == BodyLength::Known(0) && status != 403),
     };
-    let until = t0 + front.site.settings.classes[head.class].deadline_ms;
+    let until = t0 + site.settings.classes[head.class].deadline_ms;
     let mut body = Vec::new();
     let wanted = match length {
         BodyLength::Known(n) if n > BODY_MOST => return bad(413, false),
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -14,7 +14,7 @@
 use super::counters::{Counters, count};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
 use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
-use super::port::{Arrival, Caller, Doors, Engine, Input, Reply, RunEnd, Store};
+use super::port::{Arrival, Caller, Doors, Engine, Input, NewSettings, Reply, RunEnd, Store};
 use super::requests::{Feed, Open, Phase, Requests};
 use super::status::Status;
 use crate::settings::Site;
@@ -100,7 +100,7 @@
 impl Core {
     /// A core without a decision module: that is made when the engine says how the machine started.
     pub fn new(parts: Parts) -> Self {
-        let keys = Keys::new(RESULTS_PART * parts.memory_mb * 1_048_576.0);
+        let keys = Keys::new(results_most(parts.memory_mb));
         let times = Times { grace_ms: parts.site.settings.rules.drain_grace_ms, stop_ms: parts.stop_ms };
         Core {
             life: Lifecycle::new(times, parts.site.listed_by_health),
@@ -284,9 +284,34 @@
             }
             Input::CallEnded(call, outcome, reply) => self.call_ended(now, call, outcome, reply),
             Input::Look => self.parts.observer.state(now, &self.state()),
+            Input::Settings(new) => self.reconfigure(new),
         }
     }
 
+    /// Puts other settings in force. What is open keeps its class and its due time.
+    fn reconfigure(&mut self, new: NewSettings) {
+        let NewSettings { site, stop_ms, memory_mb } = new;
+        if let Some(controller) = &mut self.controller
+            && let Err(error) = controller.reconfigure(site.settings.clone())
+        {
+            tracing::error!(%error, "settings-unusable");
+            return;
+        }
+        let (old, settings) = (&self.parts.site.settings, &site.settings);
+        // What the module said before meant something else; it says it anew.
+        if old.advice != settings.advice {
+            self.parts.status.hint.set(None);
+        }
+        if old.idle_ms != settings.idle_ms {
+            self.idle_ms = None;
+        }
+        let times = Times { grace_ms: settings.rules.drain_grace_ms, stop_ms };
+        self.life.reconfigure(times, site.listed_by_health);
+        self.keys.set_results_most(results_most(memory_mb));
+        (self.parts.site, self.parts.stop_ms, self.parts.memory_mb) = (site, stop_ms, memory_mb);
+        self.publish();
+    }
+
     fn arrived(&mut self, now: f64, arrival: Arrival) {
         count(&self.parts.counters.requests);
         let class = &self.parts.site.settings.classes[arrival.class];
@@ -894,6 +919,11 @@
     }
 }
 
+/// Bytes that kept results may take in a process with so much memory.
+fn results_most(memory_mb: f64) -> f64 {
+    RESULTS_PART * memory_mb * 1_048_576.0
+}
+
 fn read_kind(now: f64, arrival: &Arrival) -> Kind {
     let (front, again, hint_ms) = (arrival.front, arrival.again, arrival.est_ms);
     Kind::Read { front, again, hint_ms, unread_ms: (now - arrival.t0).max(0.0) }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -74,6 +74,10 @@
     reports,
     /// Kept results given up for their size.
     results_dropped,
+    /// Configurations taken at a reload.
+    reloads,
+    /// Configurations turned down at a reload.
+    reloads_failed,
 }
 
 /// Adds one.
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -114,6 +114,11 @@
         Keys { entries: HashMap::new(), results: 0, results_most, digests: RandomState::new() }
     }
 
+    /// Keeps results up to so many bytes from now on; those that are kept stay for their time.
+    pub fn set_results_most(&mut self, bytes: f64) {
+        self.results_most = bytes;
+    }
+
     /// Number of entries, and bytes of results.
     pub fn size(&self) -> (usize, usize) {
         (self.entries.len(), self.results)
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Takes other times, and whether the list follows the health answer. A drain that has begun keeps its own.
+    pub fn reconfigure(&mut self, times: Times, listed_by_health: bool) {
+        if self.notice_ms.is_none() {
+            self.times = times;
+            self.listed_by_health = listed_by_health;
+        }
+    }
+
     /// Where it stands.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -20,7 +20,7 @@
 use super::port::{Doors, Input};
 use super::status::Status;
 use super::sync::Signal;
-use crate::settings::Site;
+use crate::deployment::Deployment;
 
 /// Bytes that may be queued over all connections, as a part of the process memory: hundreds that read nothing must
 /// not fill it. Past it each may still queue an even share, so that those who read don't pay for those who don't.
@@ -43,7 +43,7 @@
     /// Listening sockets that are open.
     doors: Cell<usize>,
     queued: Cell<usize>,
-    queued_most: usize,
+    queued_most: Cell<usize>,
 }
 
 impl Room {
@@ -56,10 +56,15 @@
             freed: Signal::default(),
             doors: Cell::new(0),
             queued: Cell::new(0),
-            queued_most: (memory_mb * 1_048_576.0 * QUEUES_PART) as usize,
+            queued_most: Cell::new(queued_most(memory_mb)),
         }
     }
 
+    /// The process may take so much memory from now on.
+    pub fn set_memory(&self, memory_mb: f64) {
+        self.queued_most.set(queued_most(memory_mb));
+    }
+
     /// Takes a connection in.
     pub fn enter(&self, now: f64) -> Rc<Guest> {
         let id = self.last.get() + 1;
@@ -81,7 +86,8 @@
 
     /// Whether a connection that has so many bytes queued takes more than is left for it.
     pub fn is_queued_full(&self, backlog: usize) -> bool {
-        self.queued.get() > self.queued_most && backlog * self.guests.borrow().len() > self.queued_most
+        let most = self.queued_most.get();
+        self.queued.get() > most && backlog * self.guests.borrow().len() > most
     }
 
     fn is_full(&self) -> bool {
@@ -106,6 +112,11 @@
     }
 }
 
+/// Bytes that may be queued over all connections.
+fn queued_most(memory_mb: f64) -> usize {
+    (memory_mb * 1_048_576.0 * QUEUES_PART) as usize
+}
+
 /// A listening socket. While it is there, someone may stand before it.
 pub struct Door {
     listener: Async<TcpListener>,
@@ -142,7 +153,7 @@
 /// What every connection of every front needs.
 pub struct Front {
     /// Settings and names.
-    pub site: Rc<Site>,
+    pub deployment: Rc<Deployment>,
     /// What the core publishes.
     pub status: Rc<Status>,
     /// Counters.
@@ -160,7 +171,7 @@
 impl Front {
     /// Time after which callers close idle connections, ms. Not told, it is left to them and to the want of room.
     pub fn idle_ms(&self) -> f64 {
-        Some(self.site.settings.idle_ms).filter(|ms| *ms > 0.0).unwrap_or(f64::INFINITY)
+        Some(self.deployment.site().settings.idle_ms).filter(|ms| *ms > 0.0).unwrap_or(f64::INFINITY)
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub mod listen;
 pub mod outbox;
 pub mod port;
+pub mod reload;
 pub mod requests;
 pub mod rpc;
 pub mod status;
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -5,6 +5,7 @@
 
 use pinepoint_facts::Front;
 
+use crate::settings::Site;
 use crate::{Failure, Outcome, Refusal};
 
 /// One end of a connection on which requests came. The core answers through it and never waits for it.
@@ -116,6 +117,16 @@
     Unknown,
 }
 
+/// What a reload changes for the core.
+pub struct NewSettings {
+    /// Settings and names, with all indexes as they were.
+    pub site: Rc<Site>,
+    /// From the notice to leave to the kill, ms.
+    pub stop_ms: f64,
+    /// Memory limit of the process, MB.
+    pub memory_mb: f64,
+}
+
 /// What reaches the core.
 pub enum Input {
     /// A connection was accepted.
@@ -149,4 +160,6 @@
     CallEnded(u64, Outcome, Option<Vec<u8>>),
     /// A question for the state, which the observer is told.
     Look,
+    /// These settings are in force for all that comes behind this.
+    Settings(NewSettings),
 }
--- /dev/null
+++ b/src/node/reload.rs
@@ -0,0 +1,68 @@
+//! Puts a configuration that was read again in force, in the order that keeps all parts in step. It owns which
+//! configuration that is; it must never take a part of a file, touch a request, or wait for anything but the core's queue.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use async_channel::Sender;
+use pinepoint_clock::Clock;
+
+use super::counters::{Counters, count};
+use super::links::Peers;
+use super::listen::Room;
+use super::port::{Input, NewSettings};
+use crate::configuration::Config;
+use crate::deployment::Deployment;
+
+/// Reads the configuration again when it is told to.
+pub struct Reloader {
+    /// The file.
+    pub file: PathBuf,
+    /// What is in force.
+    pub config: Config,
+    /// What the fronts go by.
+    pub deployment: Rc<Deployment>,
+    /// Where the links go.
+    pub peers: Rc<Peers>,
+    /// Room for connections.
+    pub room: Rc<Room>,
+    /// Counters.
+    pub counters: Rc<Counters>,
+    /// The clock.
+    pub clock: Clock,
+    /// The way to the core.
+    pub queue: Sender<Input>,
+}
+
+impl Reloader {
+    /// Reads the file and puts it in force. One that cannot be used changes nothing: it may be half written, or meant
+    /// for another process, and then its addresses are no better than its settings.
+    pub async fn reload(&mut self) {
+        match self.config.read_next(&self.file, self.clock.now()) {
+            Ok(config) => {
+                self.put_in_force(config).await;
+                count(&self.counters.reloads);
+            }
+            Err(error) => {
+                count(&self.counters.reloads_failed);
+                tracing::error!(addresses = "kept", settings = "kept", %error, "reload-failed");
+            }
+        }
+    }
+
+    async fn put_in_force(&mut self, config: Config) {
+        for field in self.config.fixed_differences(&config) {
+            tracing::warn!(field, "needs-a-new-start");
+        }
+        let Config { engine, store, members, memory_mb, stop_ms, .. } = config;
+        let settings = NewSettings { site: config.site.clone(), stop_ms, memory_mb };
+        // The core first: a request of a new class, read once the fronts know it, comes behind this in the queue.
+        let _ = self.queue.send(Input::Settings(settings)).await;
+        self.deployment.replace(config.site.clone());
+        self.room.set_memory(memory_mb);
+        self.peers.set(engine, store, members);
+        let classes = config.site.class_names.len();
+        tracing::info!(%engine, %store, %members, classes, "reloaded");
+        self.config = config;
+    }
+}
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -266,14 +266,14 @@
 }
 
 /// Reads one message off the front of `input`.
-pub fn take_message(input: &mut Vec<u8>, site: &Site) -> Result<Option<Message>, FrameError> {
+pub fn take_message(input: &mut Vec<u8>, site: &Site, now_ms: f64) -> Result<Option<Message>, FrameError> {
     let Some((value, used)) = read_value(input)? else { return Ok(None) };
-    let message = message(value, site)?;
+    let message = message(value, site, now_ms)?;
     input.drain(..used);
     Ok(Some(message))
 }
 
-fn message(value: Value<'_>, site: &Site) -> Result<Message, FrameError> {
+fn message(value: Value<'_>, site: &Site, now_ms: f64) -> Result<Message, FrameError> {
     let Value::Array(parts) = value else { return Err(FrameError::Shape) };
     match parts.as_slice() {
         [Value::Uint(2), Value::Str("abort"), Value::Array(ids)] => match ids.as_slice() {
@@ -284,7 +284,7 @@
         [Value::Uint(0), Value::Uint(id), Value::Str(method), Value::Array(params)] => {
             match params.as_slice() {
                 [Value::Map(pairs), Value::Bin(body)] => {
-                    Ok(Message::Request(*id, fields(method, pairs, body, site).map(Box::new)))
+                    Ok(Message::Request(*id, fields(method, pairs, body, site, now_ms).map(Box::new)))
                 }
                 _ => Err(FrameError::Shape),
             }
@@ -298,8 +298,9 @@
     pairs: &[(Value<'_>, Value<'_>)],
     body: &[u8],
     site: &Site,
+    now_ms: f64,
 ) -> Result<Fields, &'static str> {
-    let class = *site.class_names.get(method).ok_or("NoMethod")?;
+    let class = site.class_of(method, now_ms).ok_or("NoMethod")?;
     if body.len() > BODY_MOST {
         return Err("TooLarge");
     }
@@ -345,7 +346,7 @@
         mem_kb,
         token: token.map(str::to_owned),
         subject: subject.map(str::to_owned),
-        tenant: text("acct")?.and_then(|name| site.tenant_names.get(name).copied()),
+        tenant: text("acct")?.and_then(|name| site.tenant_of(name, now_ms)),
         body: body.to_vec(),
     })
 }
@@ -465,7 +466,7 @@
             return stop;
         }
         loop {
-            match take_message(&mut intake.bytes, &front.site) {
+            match take_message(&mut intake.bytes, &front.deployment.site(), front.clock.now()) {
                 Ok(None) => break,
                 Ok(Some(message)) => {
                     part_ms = None;
