--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -154,11 +154,12 @@
     /// The configuration that follows on this one by the text of a file that was read at this time, Unix ms. Stricter
     /// than [`Config::parse`]: a key that this one has must not be missing, as the file may not be what was meant.
     pub fn next(&self, file: &Path, text: &str, now_ms: f64) -> Result<Config, FileError> {
-        let new = Config::parse(file, text)?;
+        let document: Value = from_json(file, text)?;
         let wrong = |field: &str, wrong: &dyn fmt::Display| FileError::of_field(file, text, field, wrong);
-        if let Some(field) = required::first_missing(&self.document, &new.document) {
+        if let Some(field) = required::first_missing(&self.document, &document) {
             return Err(wrong(&field, &"is missing, and the configuration in force has it"));
         }
+        let new = Config::parse(file, text)?;
         let site = self
             .site
             .merged_with(Site::clone(&new.site), now_ms)
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -7,7 +7,7 @@
 
 use pinepoint::node::core::{Core, Parts};
 use pinepoint::node::counters::Counters;
-use pinepoint::node::port::{Arrival, Caller, Doors, Engine, Input, Reply, RunEnd, Store};
+use pinepoint::node::port::{Arrival, Caller, Doors, Engine, Input, NewSettings, Reply, RunEnd, Store};
 use pinepoint::node::status::Status;
 use pinepoint::settings::Site;
 use pinepoint::{Effect, Outcome};
@@ -18,6 +18,8 @@
 #[derive(Default)]
 pub struct Seen {
     pub runs: RefCell<Vec<String>>,
+    /// The class that each run was begun under.
+    pub run_classes: RefCell<BTreeMap<String, String>>,
     pub calls: RefCell<Vec<u64>>,
     pub feeds: RefCell<Vec<Vec<u8>>>,
     pub asked: Cell<u64>,
@@ -28,7 +30,8 @@
 }
 
 impl Engine for Seen {
-    fn run(&self, rid: &str, _: &str, _: &[u8]) {
+    fn run(&self, rid: &str, class: &str, _: &[u8]) {
+        self.run_classes.borrow_mut().insert(rid.to_owned(), class.to_owned());
         self.runs.borrow_mut().push(rid.to_owned());
     }
     fn halt(&self, _: &str) {}
@@ -168,7 +171,17 @@
         self.arrive_from(u64::from(key % 3), class, format!("k{key}"), body, age_ms);
     }
 
+    /// Puts these settings in force, which must be a successor of those before.
+    pub fn reload(&mut self, site: Rc<Site>, memory_mb: f64, stop_ms: f64) {
+        self.classes = site.settings.classes.len();
+        self.tell(Input::Settings(NewSettings { site, stop_ms, memory_mb }));
+    }
+
     pub fn arrive_from(&mut self, caller: u64, class: usize, key: String, body: u8, age_ms: f64) {
+        self.arrive_as(caller, class, (class == 1).then_some(key), body, age_ms);
+    }
+
+    pub fn arrive_as(&mut self, caller: u64, class: usize, token: Option<String>, body: u8, age_ms: f64) {
         self.tickets += 1;
         self.tell(Input::Request(Box::new(Arrival {
             caller: Rc::new(Client(caller, self.seen.clone())),
@@ -180,7 +193,7 @@
             again: body.is_multiple_of(2),
             est_ms: Some(100.0),
             mem_kb: 40.0,
-            token: (class == 1).then_some(key),
+            token,
             subject: None,
             tenant: None,
             body: vec![body],
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -616,6 +616,16 @@
         self.child.lock().expect("not poisoned").id()
     }
 
+    /// The text of a configuration.
+    pub fn config(&self, name: &str) -> &str {
+        &self.configs[name]
+    }
+
+    /// Replaces the configuration.
+    pub fn write_config(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("written");
+    }
+
     /// Replaces the edge file.
     pub fn write_edge(&self, text: &str) {
         std::fs::write(&self.edge, text).expect("written");
