--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -14,7 +14,7 @@
 use super::counters::{Counters, count};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
 use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
-use super::port::{Arrival, Caller, Doors, Engine, Input, Reply, RunEnd, Store};
+use super::port::{Arrival, Caller, Doors, Engine, Input, NewSettings, Reply, RunEnd, Store};
 use super::requests::{Feed, Open, Phase, Requests};
 use super::status::Status;
 use crate::settings::Site;
@@ -100,7 +100,7 @@
 impl Core {
     /// A core without a decision module: that is made when the engine says how the machine started.
     pub fn new(parts: Parts) -> Self {
-        let keys = Keys::new(RESULTS_PART * parts.memory_mb * 1_048_576.0);
+        let keys = Keys::new(results_most(parts.memory_mb));
         let times = Times { grace_ms: parts.site.settings.rules.drain_grace_ms, stop_ms: parts.stop_ms };
         Core {
             life: Lifecycle::new(times, parts.site.listed_by_health),
@@ -287,9 +287,34 @@
             }
             Input::CallEnded(call, outcome, reply) => self.call_ended(now, call, outcome, reply),
             Input::Look => self.parts.observer.state(now, &self.state()),
+            Input::Settings(new) => self.reconfigure(new),
         }
     }
 
+    /// Puts other settings in force. What is open keeps its class and its due time.
+    fn reconfigure(&mut self, new: NewSettings) {
+        let NewSettings { site, stop_ms, memory_mb } = new;
+        if let Some(controller) = &mut self.controller
+            && let Err(error) = controller.reconfigure(site.settings.clone())
+        {
+            tracing::error!(%error, "settings-unusable");
+            return;
+        }
+        let (old, settings) = (&self.parts.site.settings, &site.settings);
+        // What the module said before meant something else; it says it anew.
+        if old.advice != settings.advice {
+            self.parts.status.hint.set(None);
+        }
+        if old.idle_ms != settings.idle_ms {
+            self.idle_ms = None;
+        }
+        let times = Times { grace_ms: settings.rules.drain_grace_ms, stop_ms };
+        self.life.reconfigure(times, site.listed_by_health);
+        self.keys.set_results_most(results_most(memory_mb));
+        (self.parts.site, self.parts.stop_ms, self.parts.memory_mb) = (site, stop_ms, memory_mb);
+        self.publish();
+    }
+
     fn arrived(&mut self, now: f64, arrival: Arrival) {
         self.parts.counters.count_class(arrival.class, |class| &class.requests);
         let class = &self.parts.site.settings.classes[arrival.class];
@@ -466,7 +491,7 @@
                 self.parts.engine.halt(&open.rid);
                 open.commanded = self.asks;
             } else if unread(open.commanded) && open.phase == Phase::Running {
-                let name = class_name(&self.parts.site, open.class);
+                let name = self.parts.site.class_name(open.class);
                 self.parts.engine.run(&open.rid, name, &open.body);
                 open.commanded = self.asks;
             }
@@ -832,7 +857,7 @@
         open.commanded = self.asks;
         self.parts.counters.count_class(open.class, |class| &class.runs);
         if self.engine_up && self.barrier.is_none() {
-            self.parts.engine.run(&open.rid, class_name(&self.parts.site, open.class), &open.body);
+            self.parts.engine.run(&open.rid, self.parts.site.class_name(open.class), &open.body);
         }
         self.note_of(id, |_| Kind::Decided(Decision::Run));
         self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
@@ -913,6 +938,11 @@
     }
 }
 
+/// Bytes that kept results may take in a process with so much memory.
+fn results_most(memory_mb: f64) -> f64 {
+    RESULTS_PART * memory_mb * 1_048_576.0
+}
+
 fn read_kind(now: f64, arrival: &Arrival) -> Kind {
     let (front, again, hint_ms) = (arrival.front, arrival.again, arrival.est_ms);
     Kind::Read { front, again, hint_ms, unread_ms: (now - arrival.t0).max(0.0) }
@@ -940,7 +970,3 @@
         None => false,
     }
 }
-
-fn class_name(site: &Site, class: usize) -> &str {
-    site.class_names.iter().find(|(_, index)| **index == class).map_or("", |(name, _)| name.as_str())
-}
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -34,11 +34,18 @@
             pub fn all_classes(&self) -> ClassCounters {
                 let all = ClassCounters::default();
                 for class in self.classes.borrow().iter() {
-                    $(all.$class.set(all.$class.get() + class.$class.get());)+
+                    all.add(class);
                 }
                 all
             }
         }
+
+        impl ClassCounters {
+            /// Adds those of another class.
+            pub fn add(&self, other: &ClassCounters) {
+                $(self.$class.set(self.$class.get() + other.$class.get());)+
+            }
+        }
     };
 }
 
--- a/src/node/management.rs
+++ b/src/node/management.rs
@@ -12,11 +12,11 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use pinepoint_clock::Clock;
 
-use super::counters::Counters;
+use super::counters::{ClassCounters, Counters};
 use super::lifecycle::Phase;
 use super::status::Status;
 use super::sync::Signal;
-use crate::settings::Site;
+use crate::deployment::Deployment;
 
 /// Connections at a time. One that has not sent its line gives way to the next, the oldest first.
 pub const CONNECTIONS_MOST: usize = 16;
@@ -99,7 +99,7 @@
 /// What the port reads and sets.
 pub struct Management {
     /// The names of the classes.
-    pub site: Rc<Site>,
+    pub deployment: Rc<Deployment>,
     /// Where the process stands; a drain is asked for here.
     pub status: Rc<Status>,
     /// The figures.
@@ -127,6 +127,17 @@
         }
     }
 
+    /// The counters of each class that there was since the start. A name has several indexes where its kind has changed.
+    fn by_name(&self) -> BTreeMap<String, ClassCounters> {
+        let site = self.deployment.site();
+        let mut by_name: BTreeMap<String, ClassCounters> = BTreeMap::new();
+        for index in 0..site.settings.classes.len() {
+            let counters = by_name.entry(site.class_name(index).to_owned()).or_default();
+            counters.add(&self.counters.class(index));
+        }
+        by_name
+    }
+
     fn ask_drain(&self, drained: bool) -> String {
         self.status.drain.set(Some(drained));
         self.status.notice.wake();
@@ -139,8 +150,7 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "relay.{name}:{value}|{kind}");
         };
-        for (name, index) in &self.site.class_names {
-            let class = self.counters.class(*index);
+        for (name, class) in self.by_name() {
             line(&format!("calls.{name}.success"), class.served.get(), "c");
             line(&format!("calls.{name}.busy"), class.refused.get(), "c");
             line(&format!("calls.{name}.failure"), class.failed.get(), "c");
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub mod management;
 pub mod outbox;
 pub mod port;
+pub mod reload;
 pub mod requests;
 pub mod rpc;
 pub mod status;
