--- a/crates/pinepoint-facts/src/lib.rs
+++ b/crates/pinepoint-facts/src/lib.rs
@@ -121,6 +121,10 @@
         BadTime = "bad-time",
         /// Another try of its key had run, and the core did not start it.
         AlreadyRan = "already-ran",
+        /// Its key may have run in another process of this server that cannot be asked.
+        KeyUnknown = "key-unknown",
+        /// The other process of this server, which owns the keys, did not let this one run it.
+        ClaimDenied = "claim-denied",
         /// What came behind it on its connection is no message.
         SpoiltConnection = "spoilt-connection",
         /// The name of the try is in use, and the effect of another may be under way.
--- a/crates/pinepoint-handover/src/io.rs
+++ b/crates/pinepoint-handover/src/io.rs
@@ -223,7 +223,7 @@
 /// The socket on which a predecessor awaits its successor. The file is never removed: a stale one refuses connections.
 pub struct Acceptor {
     socket: Async<UnixListener>,
-    listeners: Vec<OwnedFd>,
+    listeners: RefCell<Vec<OwnedFd>>,
     greeted: Cell<u32>,
 }
 
@@ -245,7 +245,12 @@
         let socket = bind_and_rename(path, &temporary).inspect_err(|_| {
             let _ = std::fs::remove_file(&temporary);
         })?;
-        Ok(Acceptor { socket, listeners, greeted: Cell::new(0) })
+        Ok(Acceptor { socket, listeners: RefCell::new(listeners), greeted: Cell::new(0) })
+    }
+
+    /// Closes its copies of the listening sockets: none is passed from here on, and a successor finds none.
+    pub fn release(&self) {
+        self.listeners.borrow_mut().clear();
     }
 
     /// Greets all who connect, each in a task of its own, and hands on those who are successors. `first_number` names the first
@@ -318,7 +323,9 @@
 
     async fn send_preamble(&self, stream: &mut Async<UnixStream>) -> io::Result<()> {
         let preamble = wire::preamble();
-        let sent = stream.write_with(|stream| send_with_sockets(stream, &preamble, &self.listeners)).await?;
+        let sent = stream
+            .write_with(|stream| send_with_sockets(stream, &preamble, &self.listeners.borrow()))
+            .await?;
         stream.write_all(&preamble[sent..]).await
     }
 }
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 mod config;
+mod upgrade;
 mod view;
 
 use std::collections::VecDeque;
@@ -28,11 +29,13 @@
 use pinepoint::node::management::{self, Management};
 use pinepoint::node::reload::Reloader;
 use pinepoint::node::status::Status;
-use pinepoint::node::{ajp, fleet, links, rpc, telemetry};
+use pinepoint::node::{ajp, fleet, handover, links, rpc, telemetry};
 use pinepoint_clock::Clock;
 use pinepoint_facts::{Observer, Unwatched};
 use pinepoint_telemetry::Telemetry;
 
+use upgrade::Upgrade;
+
 use config::{Config, Edge, FileError};
 
 /// Descriptors kept for links, listeners, signals and the like: a part of all, as a divisor, between two bounds.
@@ -43,6 +46,8 @@
 const RESERVED_MOST: usize = 64;
 /// The part of the other descriptors, as a divisor, that AJP may take: routers open up to half of them.
 const AJP_PART: usize = 4;
+/// Time in which the other process of this server is told the last changes, ms.
+const HANDOVER_LAST_MS: f64 = 100.0;
 /// Before the kill nothing is sent any more, ms.
 const KILL_MARGIN_MS: f64 = 20.0;
 /// How long an address that is in use is waited for, and between two tries, ms. The platform gives a start 30 s.
@@ -221,20 +226,25 @@
     }
 }
 
+fn with_address(listener: TcpListener) -> io::Result<(Async<TcpListener>, SocketAddr)> {
+    let address = listener.local_addr()?;
+    Ok((Async::new(listener)?, address))
+}
+
 /// Opens a door. An address that is in use is waited for: the process that had it a moment ago is about to end, and a
 /// start that failed for it would be a comparer that is missing. Nothing there if the notice to leave came first.
 fn bind(
     what: &'static str,
     address: SocketAddr,
+    open: fn(SocketAddr) -> io::Result<TcpListener>,
     signs: &mut Signs,
     clock: &Clock,
 ) -> Result<Option<(Async<TcpListener>, SocketAddr)>, StartError> {
     let until = clock.now() + BIND_MS;
     let mut told = false;
     loop {
-        let bound = Async::<TcpListener>::bind(address).and_then(|l| Ok((l.get_ref().local_addr()?, l)));
-        match bound {
-            Ok((address, listener)) => return Ok(Some((listener, address))),
+        match open(address).and_then(with_address) {
+            Ok(bound) => return Ok(Some(bound)),
             Err(error) if error.kind() == io::ErrorKind::AddrInUse && clock.now() < until => {
                 if !std::mem::replace(&mut told, true) {
                     tracing::warn!(what, %address, "address-in-use");
@@ -337,12 +347,16 @@
     let engine = Rc::new(links::EngineLink::default());
     let parts = (peers.clone(), queue.clone(), clock.clone(), counters.clone(), executor.clone());
     let store = Rc::new(links::StoreLink::new(parts.0, parts.1, parts.2, parts.3, parts.4));
-    let Some((listener, address)) = bind("listen", config.listen, &mut signs, &clock)? else {
+    let mut upgrade = Upgrade::look(management_address);
+    status.accepting.set(!upgrade.as_ref().is_some_and(Upgrade::may_have_predecessor));
+    let opened = upgrade::open(&mut upgrade, "rpc", config.listen, &mut signs, &clock)?;
+    let Some((listener, address)) = opened else {
         tracing::info!(name, "ended");
         return Ok(());
     };
     if let Some(address) = management_address {
-        let Some((listener, address)) = bind("management", address, &mut signs, &clock)? else {
+        let opened = bind("management", address, upgrade::bind_alone, &mut signs, &clock)?;
+        let Some((listener, address)) = opened else {
             tracing::info!(name, "ended");
             return Ok(());
         };
@@ -393,19 +407,6 @@
         }
     };
     let room = Rc::new(Room::new(connections, config.memory_mb));
-    let core = Core::new(Parts {
-        site: site.clone(),
-        seed,
-        stop_ms: config.stop_ms,
-        memory_mb: config.memory_mb,
-        clock: clock.clone(),
-        status: status.clone(),
-        counters: counters.clone(),
-        observer: observer.clone(),
-        engine: engine.clone(),
-        store,
-        doors: room.clone(),
-    });
     let front = Rc::new(Front {
         deployment: deployment.clone(),
         status: status.clone(),
@@ -416,7 +417,8 @@
         room: room.clone(),
     });
     if let Some(config::Ajp { listen, secret, mem_kb }) = edge.ajp {
-        let Some((listener, address)) = bind("ajp", listen, &mut signs, &clock)? else {
+        let opened = upgrade::open(&mut upgrade, "ajp", listen, &mut signs, &clock)?;
+        let Some((listener, address)) = opened else {
             tracing::info!(name, "ended");
             return Ok(());
         };
@@ -436,6 +438,29 @@
             ))
             .detach();
     }
+    let host = |path, inbox| handover::Host {
+        path,
+        executor: executor.clone(),
+        clock: clock.clone(),
+        status: status.clone(),
+        room: room.clone(),
+        inbox,
+    };
+    let (handover_links, handover) = upgrade.map(|upgrade| upgrade.link(&site, host)).unzip();
+    let core = Core::new(Parts {
+        site: site.clone(),
+        seed,
+        stop_ms: config.stop_ms,
+        memory_mb: config.memory_mb,
+        clock: clock.clone(),
+        status: status.clone(),
+        counters: counters.clone(),
+        observer: front.observer.clone(),
+        engine: engine.clone(),
+        store,
+        doors: room.clone(),
+        handover,
+    });
     let mut reloader = Reloader {
         file: named_config().ok_or(StartError::NoConfig)?,
         config,
@@ -479,6 +504,9 @@
     let last_ms = edge.telemetry.last_ms.get() as f64;
     async_io::block_on(executor.run(async {
         let kill_ms = core.run(inputs).await;
+        if let Some(links) = &handover_links {
+            links.finish(HANDOVER_LAST_MS.min(kill_ms - KILL_MARGIN_MS - clock.now())).await;
+        }
         if let Some(member) = &member {
             member.leave();
         }
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -10,7 +10,12 @@
 use futures_lite::future;
 use pinepoint_clock::Clock;
 use pinepoint_facts::{Answer, CallEnd, Decision, Fact, Kind, Limit, Observer, RunEnd as Over, State, Turn};
+use pinepoint_handover::ownership::UnknownKey;
 
+mod handover;
+
+use self::handover::Handover;
+pub use self::handover::HandoverParts;
 use super::counters::{Counters, count};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
 use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
@@ -35,9 +40,21 @@
 const AHEAD_MOST_MS: f64 = 1000.0;
 const UNREAD_MOST: f64 = 2.0;
 const UNREAD_MORE_MS: f64 = 1000.0;
+/// From the notice to the kill of a process that another one follows, ms: the longest deadline, which counts as so much at
+/// most, and a margin.
+const HANDOVER_DEADLINE_MOST_MS: f64 = 3000.0;
+const HANDOVER_MARGIN_MS: f64 = 700.0;
 /// Part of the process memory that kept results may take; past it a repeat is failed, still never run.
 const RESULTS_PART: f64 = 0.25;
 
+/// How the engine started.
+#[derive(Clone, Copy, Debug)]
+struct EngineStart {
+    cold: bool,
+    /// When, ms.
+    began_ms: f64,
+}
+
 struct Asked {
     tag: u64,
     token: u32,
@@ -68,6 +85,8 @@
     pub store: Rc<dyn Store>,
     /// The doors, and who has come in by them.
     pub doors: Rc<dyn Doors>,
+    /// What a handover between two processes of this server takes; without it there is none.
+    pub handover: Option<HandoverParts>,
 }
 
 /// The core. [`Core::run`] is its task; the rest is for that task alone.
@@ -95,13 +114,15 @@
     ended: Vec<(u32, Key, u64)>,
     /// The instant in hand, ms.
     now_ms: f64,
+    handover: Option<Handover>,
 }
 
 impl Core {
     /// A core without a decision module: that is made when the engine says how the machine started.
-    pub fn new(parts: Parts) -> Self {
+    pub fn new(mut parts: Parts) -> Self {
         let keys = Keys::new(results_most(parts.memory_mb));
-        let times = Times { grace_ms: parts.site.settings.rules.drain_grace_ms, stop_ms: parts.stop_ms };
+        let times = times(&parts.site, parts.stop_ms);
+        let handover = parts.handover.take().map(Handover::new);
         Core {
             life: Lifecycle::new(times, parts.site.listed_by_health),
             parts,
@@ -124,6 +145,7 @@
             instant_keys: Vec::new(),
             ended: Vec::new(),
             now_ms: 0.0,
+            handover,
         }
     }
 
@@ -152,6 +174,7 @@
             if let Some(drained) = status.drain.take() {
                 self.set_drained(now, drained);
             }
+            self.take_peer_inputs(now);
             first.into_iter().for_each(|input| self.take(now, input));
             while let Ok(input) = queue.try_recv() {
                 self.take(now, input);
@@ -308,8 +331,7 @@
         if old.idle_ms != settings.idle_ms {
             self.idle_ms = None;
         }
-        let times = Times { grace_ms: settings.rules.drain_grace_ms, stop_ms };
-        self.life.reconfigure(times, site.listed_by_health);
+        self.life.reconfigure(times(&site, stop_ms), site.listed_by_health);
         self.keys.set_results_most(results_most(memory_mb));
         (self.parts.site, self.parts.stop_ms, self.parts.memory_mb) = (site, stop_ms, memory_mb);
         self.publish();
@@ -317,6 +339,12 @@
 
     fn arrived(&mut self, now: f64, arrival: Arrival) {
         self.parts.counters.count_class(arrival.class, |class| &class.requests);
+        self.admit(now, arrival, false);
+    }
+
+    /// Brings a request before the module, if nothing speaks against it; `claimed` if the other process of this server has
+    /// let this one run its key.
+    fn admit(&mut self, now: f64, arrival: Arrival, claimed: bool) {
         let class = &self.parts.site.settings.classes[arrival.class];
         let name = match class.effect {
             Effect::Keyed => arrival.token.clone(),
@@ -324,6 +352,7 @@
             _ => None,
         };
         let key = name.map(|name| (arrival.class, name));
+        let effect = class.effect;
         let due_ms = arrival.t0 + class.deadline_ms;
         // All that was read before has its answer, and the process ends in a moment.
         if self.life.phase() >= Life::Finishing {
@@ -366,6 +395,20 @@
             return;
         }
         let repeats = key.as_ref().and_then(|key| self.keys.kept_try(key, arrival.t0));
+        if let (Effect::Keyed, Some(key), None, false) = (effect, &key, repeats, claimed) {
+            match self.unknown_key(now) {
+                UnknownKey::Run => {}
+                UnknownKey::Fail => {
+                    let reply = Reply::Failed { late: false, why: Failure::KeyUnknown };
+                    self.turn_back(now, &arrival, &reply);
+                    return;
+                }
+                UnknownKey::Claim => {
+                    self.claim(now, key.clone(), digest, arrival);
+                    return;
+                }
+            }
+        }
         if repeats.is_some() {
             count(&self.parts.counters.repeats);
         }
@@ -458,6 +501,16 @@
             self.parts.engine.stat(self.asks);
             return;
         }
+        let began_ms = now - ms.max(0.0);
+        if self.handover.is_some() {
+            self.engine_up_for_handover(now, EngineStart { cold, began_ms });
+        } else {
+            self.begin(EngineStart { cold, began_ms });
+        }
+    }
+
+    /// Begins to serve.
+    fn begin(&mut self, EngineStart { cold, began_ms }: EngineStart) {
         if !self.life.engine_up() {
             // Told to leave before, it begins nothing any more.
             return;
@@ -466,7 +519,7 @@
         settings.cold = cold;
         match Controller::new(settings, self.parts.seed) {
             Ok(mut controller) => {
-                controller.handle(now - ms.max(0.0), Event::Begin, &mut self.actions);
+                controller.handle(began_ms, Event::Begin, &mut self.actions);
                 self.controller = Some(controller);
                 self.turn(Turn::Up { cold });
                 self.life.set_healthy(true);
@@ -550,6 +603,7 @@
     /// The try `id` of a key is over: its repeats are answered, and its result is kept for those to come. Proved not to
     /// have run, it leaves nothing: the next try is a first one.
     fn key_ended(&mut self, key: &Key, id: u32, outcome: Outcome, result: TryResult) {
+        self.touch(key);
         let (waiters, dropped) = self.keys.ended(key, id, result.clone(), outcome == Outcome::Moot);
         for waiter in waiters {
             self.answer_repeat(waiter, &result);
@@ -622,6 +676,15 @@
     /// The notice to leave, which came at this time.
     pub fn leave(&mut self, now: f64, at_ms: f64) {
         self.now_ms = now;
+        if self.handover.is_some() {
+            self.notice_in_handover(now, at_ms);
+        } else {
+            self.leave_service(now, at_ms);
+        }
+    }
+
+    /// Begins the drain of a process that nobody follows.
+    fn leave_service(&mut self, now: f64, at_ms: f64) {
         if !self.life.notice(at_ms) {
             return;
         }
@@ -640,6 +703,11 @@
     /// An operator's wish for a drain, or for its end.
     pub fn set_drained(&mut self, now: f64, drained: bool) {
         self.now_ms = now;
+        self.apply_drained(drained);
+        self.tell_peers_of_drain(now, drained);
+    }
+
+    fn apply_drained(&mut self, drained: bool) {
         let done = self.life.set_drained(drained);
         tracing::info!(drained, done, phase = ?self.life.phase(), "drain");
         self.publish();
@@ -657,6 +725,7 @@
 
     fn close_doors(&self) {
         self.callers.values().for_each(|caller| caller.leave());
+        self.release_listeners();
         self.parts.status.shut.open();
     }
 
@@ -665,7 +734,7 @@
         loop {
             let doors = &self.parts.doors;
             let (doors, connections) = (doors.open(), doors.connections());
-            let owed = !self.requests.nothing_owed();
+            let owed = !self.requests.nothing_owed() || self.has_claims();
             let Some(phase) = self.life.advance(now, Left { doors, connections, owed }) else { return };
             match phase {
                 Life::ToldToGo => self.callers.values().for_each(|caller| caller.leave()),
@@ -676,6 +745,7 @@
                         count(&self.parts.counters.overdue);
                         self.give_up(now, id, Reply::Failed { late: true, why: Failure::Stop });
                     }
+                    self.deny_all_claims(now);
                     self.parts.status.finishing.open();
                 }
                 Life::Starting
@@ -683,6 +753,7 @@
                 | Life::Serving
                 | Life::Drained
                 | Life::Leaving
+                | Life::HandedOver
                 | Life::Gone => {}
             }
             self.parts.status.phase.set(phase);
@@ -697,7 +768,12 @@
         let asked = self.asked.iter().map(|asked| asked.give_up_ms);
         let idle = self.requests.is_empty() && self.life.phase() < Life::Leaving;
         let watch = (!idle).then_some(self.watched_ms + WATCH_MS);
-        timers.chain(asked).chain(watch).chain(self.life.next_due()).min_by(f64::total_cmp)
+        timers
+            .chain(asked)
+            .chain(watch)
+            .chain(self.life.next_due())
+            .chain(self.handover_due())
+            .min_by(f64::total_cmp)
     }
 
     fn run_timers(&mut self, now: f64) {
@@ -750,6 +826,7 @@
         if let Some(after_ms) = self.idle_ms {
             self.callers.values().for_each(|caller| caller.leave_if_idle(now - after_ms));
         }
+        self.tell_connections(now);
         if now >= self.swept_ms + KEY_SWEEP_MS {
             self.swept_ms = now;
             self.keys.sweep(now);
@@ -763,6 +840,7 @@
         self.now_ms = now;
         self.live(now);
         self.run_timers(now);
+        self.handover_tick(now);
         self.instant_keys.clear();
         loop {
             while let Some(event) = self.follow_up.pop_front() {
@@ -773,6 +851,7 @@
             actions.into_iter().for_each(|action| self.carry_out(now, action));
             if self.follow_up.is_empty() {
                 self.ended.clear();
+                self.tell_successor_of_keys(now);
                 return;
             }
         }
@@ -823,6 +902,7 @@
             Action::Remember { id, for_ms } => self.remember(now, id, for_ms),
             Action::Forget { id } => {
                 if let Some((key, _)) = self.key_of(id) {
+                    self.touch(&key);
                     self.keys.forget(&key, id);
                 }
             }
@@ -852,6 +932,7 @@
                 return;
             }
         }
+        let key = open.key.clone();
         open.phase = Phase::Running;
         open.began_ms = now;
         open.commanded = self.asks;
@@ -859,6 +940,7 @@
         if self.engine_up && self.barrier.is_none() {
             self.parts.engine.run(&open.rid, self.parts.site.class_name(open.class), &open.body);
         }
+        key.iter().for_each(|key| self.touch(key));
         self.note_of(id, |_| Kind::Decided(Decision::Run));
         self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
     }
@@ -875,6 +957,7 @@
 
     fn remember(&mut self, now: f64, id: u32, for_ms: f64) {
         if let Some((key, digest)) = self.key_of(id) {
+            self.touch(&key);
             self.keys.remember(key, id, digest, now + for_ms);
         }
     }
@@ -884,7 +967,9 @@
         open.phase = Phase::Waiting;
         let (key, first) = (open.key.clone(), open.repeats);
         self.note_of(id, |_| Kind::Decided(Decision::Reuse));
-        let under_way = first.is_some_and(|first| self.requests.get(first).is_some());
+        let remote = key.as_ref().and_then(|key| self.keys.remote_try(key));
+        let under_way =
+            first.is_some_and(|first| self.requests.get(first).is_some() || remote == Some(first));
         if let Joined::Over(result) = self.keys.join(key.as_ref(), id, first, under_way) {
             self.answer_repeat(id, &result);
         }
@@ -932,12 +1017,21 @@
     fn forget_request(&mut self, id: u32) {
         let Some(open) = self.requests.remove(id) else { return };
         if let Some(key) = open.key {
+            self.touch(&key);
             self.keys.left(&key, id, open.phase == Phase::Held);
             self.ended.push((id, key, open.digest));
         }
     }
 }
 
+/// The times of a drain.
+fn times(site: &Site, stop_ms: f64) -> Times {
+    let deadlines = site.settings.classes.iter().map(|class| class.deadline_ms);
+    let longest_ms = deadlines.fold(0.0, f64::max).min(HANDOVER_DEADLINE_MOST_MS);
+    let handover_stop_ms = stop_ms.min(longest_ms + HANDOVER_MARGIN_MS);
+    Times { grace_ms: site.settings.rules.drain_grace_ms, stop_ms, handover_stop_ms }
+}
+
 /// Bytes that kept results may take in a process with so much memory.
 fn results_most(memory_mb: f64) -> f64 {
     RESULTS_PART * memory_mb * 1_048_576.0
--- /dev/null
+++ b/src/node/core/handover.rs
@@ -0,0 +1,456 @@
+//! The core's side of a handover between two processes of one server: it feeds the two state machines of
+//! `pinepoint-handover` and carries out what they decide on the tables of keys and requests. It owns the requests that wait
+//! for a claim; it must never do I/O.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use pinepoint_facts::{Failure, Turn};
+use pinepoint_handover::message::{Claim, Key as SharedKey, KeyRecord, KeyState};
+use pinepoint_handover::ownership::{Denial, Rules, UnknownKey};
+use pinepoint_handover::predecessor::{self, Predecessor};
+use pinepoint_handover::successor::{self, Successor};
+
+use super::{Core, EngineStart, Key, Life, UNREAD_MORE_MS, UNREAD_MOST};
+use crate::node::keys::{Record, TryResult};
+use crate::node::port::{Arrival, HandoverPort, PeerInbox, PeerInput, Reply};
+use crate::{Effect, Outcome};
+
+/// What a handover takes.
+pub struct HandoverParts {
+    /// The way to the other process.
+    pub port: Rc<dyn HandoverPort>,
+    /// What the other process tells.
+    pub inbox: Rc<PeerInbox>,
+    /// Bounds and waits.
+    pub rules: Rules,
+    /// Names of the listening sockets, in the order in which they are passed.
+    pub listeners: Vec<String>,
+}
+
+/// Requests of one key that wait until the other process says whether it may run.
+struct WaitingClaim {
+    key: Key,
+    arrivals: Vec<Arrival>,
+}
+
+/// The state of the handover.
+pub(super) struct Handover {
+    parts: HandoverParts,
+    successor: Successor,
+    /// From the moment on at which this process serves.
+    predecessor: Option<Predecessor>,
+    keys_unknown_until_ms: f64,
+    engine: Option<EngineStart>,
+    notice_ms: f64,
+    claims: BTreeMap<u64, WaitingClaim>,
+    last_claim: u64,
+    /// Keys that have changed in the instant in hand.
+    touched: Vec<Key>,
+}
+
+impl Handover {
+    pub(super) fn new(parts: HandoverParts) -> Self {
+        Handover {
+            successor: Successor::new(parts.rules.clone()),
+            parts,
+            predecessor: None,
+            keys_unknown_until_ms: 0.0,
+            engine: None,
+            notice_ms: 0.0,
+            claims: BTreeMap::new(),
+            last_claim: 0,
+            touched: Vec::new(),
+        }
+    }
+
+    fn has_successor(&self) -> bool {
+        self.predecessor.as_ref().is_some_and(|machine| machine.phase() != predecessor::Phase::NoSuccessor)
+    }
+}
+
+impl Core {
+    // ---- events in ----
+
+    /// Takes what the other process has told.
+    pub(super) fn take_peer_inputs(&mut self, now: f64) {
+        self.now_ms = now;
+        while let Some(input) = self.handover.as_ref().and_then(|handover| handover.parts.inbox.pop()) {
+            match input {
+                PeerInput::PredecessorFound(hello) => {
+                    tracing::info!(drained = hello.drained, "predecessor-found");
+                    self.keys.set_digest_key(hello.digest_key);
+                    self.successor_event(now, successor::Event::PeerConnected(hello));
+                }
+                PeerInput::NoPredecessor(why) => {
+                    tracing::info!(reason = %why, "no-predecessor");
+                    self.successor_event(now, successor::Event::NoPredecessor(why));
+                }
+                PeerInput::FromPredecessor(message) => {
+                    self.successor_event(now, successor::Event::Message(message));
+                }
+                PeerInput::PredecessorLost => self.successor_event(now, successor::Event::PeerLost),
+                PeerInput::SuccessorFound => self.predecessor_event(now, predecessor::Event::PeerConnected),
+                PeerInput::FromSuccessor(message) => {
+                    self.predecessor_event(now, predecessor::Event::Message(message));
+                }
+                PeerInput::SuccessorLost => self.predecessor_event(now, predecessor::Event::PeerLost),
+            }
+        }
+    }
+
+    /// The engine of a process that may have to take over first.
+    pub(super) fn engine_up_for_handover(&mut self, now: f64, start: EngineStart) {
+        let Some(handover) = &mut self.handover else { return };
+        handover.engine = Some(start);
+        self.successor_event(now, successor::Event::EngineUp);
+    }
+
+    /// The notice to leave, in a process that another one may follow.
+    pub(super) fn notice_in_handover(&mut self, now: f64, at_ms: f64) {
+        let Some(handover) = &mut self.handover else { return };
+        handover.notice_ms = at_ms;
+        if handover.predecessor.is_some() {
+            self.predecessor_event(now, predecessor::Event::Terminate);
+        } else {
+            self.successor_event(now, successor::Event::Terminate);
+        }
+    }
+
+    /// An operator drained this process or took it back.
+    pub(super) fn tell_peers_of_drain(&mut self, now: f64, drained: bool) {
+        self.successor_event(now, successor::Event::DrainChanged(drained));
+        self.predecessor_event(now, predecessor::Event::DrainChanged(drained));
+    }
+
+    /// How many connections this process holds, which count against the limit of both.
+    pub(super) fn tell_connections(&mut self, now: f64) {
+        if self.handover.as_ref().is_some_and(Handover::has_successor) {
+            let open = u32::try_from(self.parts.doors.connections()).unwrap_or(u32::MAX);
+            self.predecessor_event(now, predecessor::Event::Connections(open));
+        }
+    }
+
+    /// When a wait of the handover is over.
+    pub(super) fn handover_due(&self) -> Option<f64> {
+        let handover = self.handover.as_ref()?;
+        let predecessor = handover.predecessor.as_ref().and_then(Predecessor::next_due);
+        handover.successor.next_due().into_iter().chain(predecessor).min_by(f64::total_cmp)
+    }
+
+    /// Ends the waits that are over.
+    pub(super) fn handover_tick(&mut self, now: f64) {
+        if self.handover_due().is_some_and(|at| now >= at) {
+            self.successor_event(now, successor::Event::Tick);
+            self.predecessor_event(now, predecessor::Event::Tick);
+        }
+    }
+
+    fn successor_event(&mut self, now: f64, event: successor::Event) {
+        let Some(handover) = &mut self.handover else { return };
+        let mut actions = Vec::new();
+        let before = handover.successor.phase();
+        handover.successor.handle(now, event, &mut actions);
+        let phase = handover.successor.phase();
+        if std::mem::discriminant(&before) != std::mem::discriminant(&phase) {
+            tracing::info!(?phase, "taking-over");
+        }
+        actions.into_iter().for_each(|action| self.carry_out_as_successor(now, action));
+    }
+
+    fn predecessor_event(&mut self, now: f64, event: predecessor::Event) {
+        let Some(machine) = self.handover.as_mut().and_then(|handover| handover.predecessor.as_mut()) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        let before = machine.phase();
+        machine.handle(now, event, &mut actions);
+        let phase = machine.phase();
+        if before != phase {
+            tracing::info!(?phase, "handing-over");
+        }
+        actions.into_iter().for_each(|action| self.carry_out_as_predecessor(now, action));
+    }
+
+    // ---- actions out ----
+
+    fn carry_out_as_successor(&mut self, now: f64, action: successor::Action) {
+        use successor::Action;
+        let Some(handover) = &mut self.handover else { return };
+        let port = handover.parts.port.clone();
+        match action {
+            Action::Send(message) => port.send_to_predecessor(&message),
+            Action::Reconnect => port.find_predecessor(),
+            Action::DropPeer(why) => {
+                tracing::warn!(reason = %why, "predecessor-dropped");
+                port.drop_predecessor();
+            }
+            Action::BeginServing => self.begin_serving(now),
+            Action::Import(record) => self.import(now, record),
+            Action::DiscardImports => self.end_remote_tries(Outcome::Moot),
+            Action::FailPeerKeys => self.end_remote_tries(Outcome::Failed),
+            Action::KeysUnknownUntil(until_ms) => {
+                tracing::warn!(for_ms = (until_ms - now).round(), "keys-unknown");
+                handover.keys_unknown_until_ms = until_ms;
+                self.predecessor_event(now, predecessor::Event::KeysUnknownUntil(until_ms));
+            }
+            Action::DecideClaim(claim) => self.decide_claim(now, claim),
+            Action::SetDrained(drained) => {
+                self.apply_drained(drained);
+                self.predecessor_event(now, predecessor::Event::DrainChanged(drained));
+            }
+            Action::PeerConnections(open) => port.set_peer_connections(open as usize),
+            Action::Leave => {
+                let at_ms = handover.notice_ms;
+                self.leave_service(now, at_ms);
+            }
+        }
+    }
+
+    fn carry_out_as_predecessor(&mut self, now: f64, action: predecessor::Action) {
+        use predecessor::Action;
+        let Some(handover) = &self.handover else { return };
+        let port = handover.parts.port.clone();
+        match action {
+            Action::Send(message) => port.send_to_successor(&message),
+            Action::SendSnapshot => {
+                let records = self.key_records();
+                self.predecessor_event(now, predecessor::Event::Snapshot(records));
+            }
+            Action::RefusePeer => {}
+            Action::DropPeer(why) => {
+                tracing::warn!(reason = %why, "successor-dropped");
+                port.drop_successor();
+            }
+            Action::StopAccepting => self.parts.status.accepting.set(false),
+            Action::ResumeAccepting => self.parts.status.accepting.set(true),
+            Action::BindAcceptor => port.listen_for_successor(),
+            Action::Grant(id) => self.claim_granted(now, id),
+            Action::Deny(id, why) => self.claim_denied(now, id, why),
+            Action::SetDrained(drained) => {
+                self.apply_drained(drained);
+                self.successor_event(now, successor::Event::DrainChanged(drained));
+            }
+            Action::KeysUnknownUntil(until_ms) => {
+                tracing::warn!(for_ms = (until_ms - now).round(), "keys-unknown");
+            }
+            Action::Leave { handed_over } => {
+                let at_ms = handover.notice_ms;
+                if handed_over {
+                    self.leave_handed_over(now, at_ms);
+                } else {
+                    self.leave_service(now, at_ms);
+                }
+            }
+        }
+    }
+
+    /// This process owns the keys and can serve: from here on it may be taken over from itself.
+    fn begin_serving(&mut self, now: f64) {
+        let drained = self.life.phase() == Life::StartingDrained;
+        let digest_key = self.keys.digest_key();
+        let Some(handover) = &mut self.handover else { return };
+        let listeners = handover.parts.listeners.clone();
+        handover.predecessor = Some(Predecessor::new(handover.parts.rules.clone(), listeners, digest_key));
+        let (start, unknown_until_ms) = (handover.engine, handover.keys_unknown_until_ms);
+        let port = handover.parts.port.clone();
+        self.predecessor_event(now, predecessor::Event::KeysUnknownUntil(unknown_until_ms));
+        self.predecessor_event(now, predecessor::Event::DrainChanged(drained));
+        if let Some(start) = start {
+            self.begin(start);
+        }
+        if self.life.phase() < Life::Leaving {
+            port.listen_for_successor();
+            self.parts.status.accepting.set(true);
+        }
+    }
+
+    /// Leaves a server that the other process serves on. Callers are told at once: that process is there for them.
+    fn leave_handed_over(&mut self, now: f64, at_ms: f64) {
+        if !self.life.hand_over(at_ms) {
+            return;
+        }
+        let late_ms = (now - at_ms).round();
+        let (open, connections) = (self.requests.len(), self.callers.len());
+        tracing::info!(open, connections, late_ms, "leaving-handed-over");
+        self.publish();
+        self.turn(Turn::Leaving { kill_ms: self.life.kill_ms().unwrap_or(f64::INFINITY) });
+        self.close_doors();
+    }
+
+    /// The doors shut: nothing keeps their sockets open for a successor.
+    pub(super) fn release_listeners(&self) {
+        if let Some(handover) = &self.handover {
+            handover.parts.port.release_listeners();
+        }
+    }
+
+    // ---- keys that the other process is told of ----
+
+    /// Notes that a key has changed, for the other process.
+    pub(super) fn touch(&mut self, key: &Key) {
+        if let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) {
+            handover.touched.push(key.clone());
+        }
+    }
+
+    /// Tells the successor of all keys that have changed in the instant in hand.
+    pub(super) fn tell_successor_of_keys(&mut self, now: f64) {
+        let Some(handover) = &mut self.handover else { return };
+        let mut touched = std::mem::take(&mut handover.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for key in touched {
+            if !self.is_keyed(&key) {
+                continue;
+            }
+            let record = self.key_record(&key);
+            self.predecessor_event(now, predecessor::Event::KeyChanged(record));
+        }
+    }
+
+    fn is_keyed(&self, key: &Key) -> bool {
+        self.parts.site.settings.classes[key.0].effect == Effect::Keyed
+    }
+
+    /// All keys of this process.
+    fn key_records(&self) -> Vec<KeyRecord> {
+        let keys = self.keys.all().filter(|key| self.is_keyed(key));
+        keys.map(|key| self.key_record(key)).collect()
+    }
+
+    fn key_record(&self, key: &Key) -> KeyRecord {
+        let (class, token) = (self.parts.site.class_name(key.0).to_owned(), key.1.clone());
+        let key_name = SharedKey { class, token };
+        let Some(Record { id, digest, until, ran, result }) = self.keys.record(key) else {
+            return KeyRecord { key: key_name, digest: 0, until_ms: 0.0, state: KeyState::Released };
+        };
+        let state = match result {
+            _ if !ran => KeyState::Held,
+            TryResult::Pending => KeyState::Ran,
+            TryResult::Done(bytes) => KeyState::Done(bytes.to_vec()),
+            TryResult::Failed => KeyState::Failed,
+        };
+        // A request that is held beyond the window of its key must not be overtaken by a run of the other process.
+        let due_ms = self.requests.get(id).map_or(0.0, |open| open.due_ms);
+        KeyRecord { key: key_name, digest, until_ms: until.max(due_ms), state }
+    }
+
+    // ---- keys that the other process tells of ----
+
+    /// The key by the names of this process; none for a class that it does not know.
+    fn local_key(&self, key: &SharedKey) -> Option<Key> {
+        let class = *self.parts.site.class_names.get(&key.class)?;
+        Some((class, key.token.clone())).filter(|key| self.is_keyed(key))
+    }
+
+    /// Enters what the other process tells of a key. What this process knows itself stays as it is.
+    fn import(&mut self, now: f64, record: KeyRecord) {
+        let Some(key) = self.local_key(&record.key) else { return };
+        let known = self.keys.remote_try(&key);
+        if known.is_none() && (record.state == KeyState::Released || self.keys.is_known(&key, now)) {
+            return;
+        }
+        let id = known.unwrap_or_else(|| self.requests.number());
+        if record.state != KeyState::Released {
+            self.keys.enter_remote(&key, id, record.digest, record.until_ms);
+        }
+        match record.state {
+            KeyState::Held | KeyState::Ran => self.touch(&key),
+            KeyState::Done(bytes) => {
+                self.key_ended(&key, id, Outcome::Done, TryResult::Done(bytes.into()));
+            }
+            KeyState::Failed => self.key_ended(&key, id, Outcome::Failed, TryResult::Failed),
+            KeyState::Released => self.key_ended(&key, id, Outcome::Moot, TryResult::Failed),
+        }
+    }
+
+    /// Ends all tries that were under way in the other process.
+    fn end_remote_tries(&mut self, outcome: Outcome) {
+        for (key, id) in self.keys.remote_tries() {
+            self.key_ended(&key, id, outcome, TryResult::Failed);
+        }
+    }
+
+    // ---- claims ----
+
+    /// What may be done with a request of a key that this process does not know.
+    pub(super) fn unknown_key(&self, now: f64) -> UnknownKey {
+        let machine = self.handover.as_ref().and_then(|handover| handover.predecessor.as_ref());
+        machine.map_or(UnknownKey::Run, |machine| machine.unknown_key(now))
+    }
+
+    /// Asks the other process whether this key may run here; the request waits for that.
+    pub(super) fn claim(&mut self, now: f64, key: Key, digest: u64, arrival: Arrival) {
+        let class = &self.parts.site.settings.classes[arrival.class];
+        let until_ms = arrival.t0 + class.key_window_ms.max(class.deadline_ms) + 1.0;
+        let shared = SharedKey { class: self.parts.site.class_name(key.0).to_owned(), token: key.1.clone() };
+        let Some(handover) = &mut self.handover else { return };
+        if let Some(claim) = handover.claims.values_mut().find(|claim| claim.key == key) {
+            claim.arrivals.push(arrival);
+            return;
+        }
+        handover.last_claim += 1;
+        let id = handover.last_claim;
+        handover.claims.insert(id, WaitingClaim { key, arrivals: vec![arrival] });
+        let claim = Claim { id, key: shared, digest, until_ms };
+        self.predecessor_event(now, predecessor::Event::ClaimWanted(claim));
+    }
+
+    /// Whether requests wait for a claim.
+    pub(super) fn has_claims(&self) -> bool {
+        self.handover.as_ref().is_some_and(|handover| !handover.claims.is_empty())
+    }
+
+    fn take_claim(&mut self, id: u64) -> Option<WaitingClaim> {
+        self.handover.as_mut()?.claims.remove(&id)
+    }
+
+    /// The first request of the claim is admitted as one of a new key, those behind it as its repeats.
+    fn claim_granted(&mut self, now: f64, id: u64) {
+        let Some(WaitingClaim { key, arrivals }) = self.take_claim(id) else { return };
+        // Refused without having been kept, the key is to be given back.
+        self.touch(&key);
+        for (place, arrival) in arrivals.into_iter().enumerate() {
+            self.admit(now, arrival, place == 0);
+        }
+    }
+
+    fn claim_denied(&mut self, now: f64, id: u64, why: Denial) {
+        let Some(WaitingClaim { arrivals, .. }) = self.take_claim(id) else { return };
+        tracing::info!(reason = %why, requests = arrivals.len(), "claim-denied");
+        for arrival in arrivals {
+            let reply = Reply::Failed { late: false, why: Failure::ClaimDenied };
+            self.turn_back(now, &arrival, &reply);
+        }
+    }
+
+    /// Nothing is waited for any more: the process is about to end.
+    pub(super) fn deny_all_claims(&mut self, now: f64) {
+        let ids: Vec<u64> =
+            self.handover.iter().flat_map(|handover| handover.claims.keys().copied()).collect();
+        ids.into_iter().for_each(|id| self.claim_denied(now, id, Denial::NoAnswer));
+    }
+
+    /// Whether the predecessor may run this key: nothing of it is known here, and nothing can be unknown.
+    fn decide_claim(&mut self, now: f64, claim: Claim) {
+        let granted = self.local_key(&claim.key).is_some_and(|key| self.may_grant(now, &key));
+        if let (true, Some(key)) = (granted, self.local_key(&claim.key)) {
+            let id = self.requests.number();
+            self.keys.enter_remote(&key, id, claim.digest, claim.until_ms);
+            self.touch(&key);
+        }
+        self.successor_event(now, successor::Event::ClaimDecided { id: claim.id, granted });
+    }
+
+    fn may_grant(&mut self, now: f64, key: &Key) -> bool {
+        if self.instant_keys.contains(key) {
+            self.settle(now);
+        }
+        // The claim does not say when its request reached the machine: it may have lain unread for so long.
+        let class = &self.parts.site.settings.classes[key.0];
+        let unread_most_ms = class.deadline_ms * UNREAD_MOST + UNREAD_MORE_MS;
+        let waits = self.handover.iter().flat_map(|h| h.claims.values()).any(|claim| claim.key == *key);
+        !waits && !self.keys.is_known(key, now - unread_most_ms) && self.unknown_key(now) == UnknownKey::Run
+    }
+}
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -4,9 +4,11 @@
 
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
-use std::hash::BuildHasher;
+use std::hash::{BuildHasher, Hasher};
 use std::rc::Rc;
 
+use siphasher::sip::SipHasher13;
+
 /// Entries outlive their time by this much, ms, for tries that came in time and were read late: longer than any
 /// caller waits.
 const AFTERLIFE_MS: f64 = 15_000.0;
@@ -47,11 +49,14 @@
     result: TryResult,
     /// Repeats that wait, each with the try whose result it waits for.
     waiters: Vec<(u32, u32)>,
+    /// The try that is under way in another process of this server: it counts as one that ran.
+    remote: Option<u32>,
 }
 
 impl Entry {
     fn new(of: u32) -> Self {
-        Entry { holder: None, ran: None, of, result: TryResult::Pending, waiters: Vec::new() }
+        let result = TryResult::Pending;
+        Entry { holder: None, ran: None, of, result, waiters: Vec::new(), remote: None }
     }
 
     /// The try that one which came at this time repeats.
@@ -104,14 +109,39 @@
     /// Bytes of all results; what takes one out of an entry, or the entry out of the table, takes its bytes off.
     results: usize,
     results_most: f64,
-    /// Seeded anew in each process, so that nobody can make two bodies alike.
-    digests: RandomState,
+    /// Drawn anew by each server, so that nobody can make two bodies alike; its processes share it.
+    digest_key: [u8; 16],
+}
+
+/// What another process of this server is told of a key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// The try that is known.
+    pub id: u32,
+    /// Digest of its body.
+    pub digest: u64,
+    /// Those that reached the machine before this time are its repeats.
+    pub until: f64,
+    /// Whether the try was started. One that was not may yet be refused.
+    pub ran: bool,
+    /// Its result.
+    pub result: TryResult,
+}
+
+/// A key for digests that nobody can guess.
+fn random_key() -> [u8; 16] {
+    let mut key = [0; 16];
+    let random = RandomState::new();
+    for (half, bytes) in key.chunks_mut(8).enumerate() {
+        bytes.copy_from_slice(&random.hash_one(half).to_ne_bytes());
+    }
+    key
 }
 
 impl Keys {
     /// An empty table that keeps results up to so many bytes.
     pub fn new(results_most: f64) -> Self {
-        Keys { entries: HashMap::new(), results: 0, results_most, digests: RandomState::new() }
+        Keys { entries: HashMap::new(), results: 0, results_most, digest_key: random_key() }
     }
 
     /// Keeps results up to so many bytes from now on; those that are kept stay for their time.
@@ -126,7 +156,60 @@
 
     /// A digest by which the bodies of two tries are compared.
     pub fn digest(&self, body: &[u8]) -> u64 {
-        self.digests.hash_one(body)
+        let mut hasher = SipHasher13::new_with_key(&self.digest_key);
+        hasher.write(body);
+        hasher.finish()
+    }
+
+    /// The key of digests.
+    pub fn digest_key(&self) -> [u8; 16] {
+        self.digest_key
+    }
+
+    /// Takes over the key of digests of another process of this server. Digests that were made before mean nothing then.
+    pub fn set_digest_key(&mut self, digest_key: [u8; 16]) {
+        self.digest_key = digest_key;
+    }
+
+    /// All keys.
+    pub fn all(&self) -> impl Iterator<Item = &Key> {
+        self.entries.keys()
+    }
+
+    /// What another process has to know of this key; nothing if nothing is known of it.
+    pub fn record(&self, key: &Key) -> Option<Record> {
+        let entry = self.entries.get(key)?;
+        let Try { id, digest, until } = entry.ran.or(entry.holder)?;
+        let result = if entry.of == id { entry.result.clone() } else { TryResult::Failed };
+        Some(Record { id, digest, until, ran: entry.ran.is_some(), result })
+    }
+
+    /// Whether anything known of the key covers tries that reach the machine at this time.
+    pub fn is_known(&self, key: &Key, t0: f64) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.known(t0).is_some())
+    }
+
+    /// The try of this key that is under way in another process.
+    pub fn remote_try(&self, key: &Key) -> Option<u32> {
+        self.entries.get(key)?.remote
+    }
+
+    /// All keys with a try that is under way in another process.
+    pub fn remote_tries(&self) -> Vec<(Key, u32)> {
+        self.entries.iter().filter_map(|(key, entry)| Some((key.clone(), entry.remote?))).collect()
+    }
+
+    /// Enters a try that is under way in another process, or what is told anew of it. None of this process may start
+    /// until then.
+    pub fn enter_remote(&mut self, key: &Key, id: u32, digest: u64, until: f64) {
+        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(id));
+        if entry.of != id {
+            self.results -= entry.bytes();
+            (entry.of, entry.result) = (id, TryResult::Pending);
+        }
+        entry.holder = None;
+        entry.ran = Some(Try { id, digest, until });
+        entry.remote = Some(id);
     }
 
     /// The try that a request with this key repeats, if it reached the machine while the entry lived.
@@ -189,6 +272,7 @@
     /// room: the entry stays then, so that no repeat runs. `never_ran` if that is proved: the next try is a first one.
     pub fn ended(&mut self, key: &Key, id: u32, result: TryResult, never_ran: bool) -> (Vec<u32>, bool) {
         let Some(entry) = self.entries.get_mut(key) else { return (Vec::new(), false) };
+        entry.remote = entry.remote.filter(|remote| *remote != id);
         let (waited, others) = entry.waiters.drain(..).partition(|(_, first)| *first == id);
         entry.waiters = others;
         let waited: Vec<(u32, u32)> = waited;
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -32,6 +32,9 @@
     Leaving,
     /// Callers are told to go.
     ToldToGo,
+    /// Another process of this server has taken over, and the notice has come: callers are told to go, what still comes
+    /// is served, and the list is that process's business.
+    HandedOver,
     /// The doors shut behind those who stand before them. What comes now is turned away.
     Closing,
     /// All that is left was answered, as the kill is near: nothing more is taken in.
@@ -44,15 +47,17 @@
     /// Whether the one may follow on the other.
     pub fn may_become(self, next: Phase) -> bool {
         use Phase::{
-            Closing, Drained, Finishing, Gone, Leaving, Serving, Starting, StartingDrained, ToldToGo,
+            Closing, Drained, Finishing, Gone, HandedOver, Leaving, Serving, Starting, StartingDrained,
+            ToldToGo,
         };
         match self {
             Starting => matches!(next, StartingDrained | Serving | Closing),
             StartingDrained => matches!(next, Starting | Drained | Closing),
-            Serving => matches!(next, Drained | Leaving),
-            Drained => matches!(next, Serving | Leaving),
-            Leaving => next == ToldToGo,
-            ToldToGo => next == Closing,
+            Serving => matches!(next, Drained | Leaving | HandedOver),
+            Drained => matches!(next, Serving | Leaving | HandedOver),
+            Leaving => matches!(next, ToldToGo | HandedOver),
+            ToldToGo => matches!(next, Closing | HandedOver),
+            HandedOver => matches!(next, Finishing | Gone),
             Closing => matches!(next, Finishing | Gone),
             Finishing => next == Gone,
             Gone => false,
@@ -67,6 +72,8 @@
     pub grace_ms: f64,
     /// From the notice to the kill.
     pub stop_ms: f64,
+    /// The same where another process has taken over.
+    pub handover_stop_ms: f64,
 }
 
 /// What is left of the work of a process that leaves.
@@ -98,6 +105,9 @@
     listed_by_health: bool,
     /// What the decision module says of its health.
     healthy: bool,
+    /// It was drained when it was handed over.
+    drained: bool,
+    handed_over: bool,
     notice_ms: Option<f64>,
     /// When the last answers were given, ms.
     finishing_ms: f64,
@@ -111,6 +121,8 @@
             times,
             listed_by_health,
             healthy: false,
+            drained: false,
+            handed_over: false,
             notice_ms: None,
             finishing_ms: 0.0,
         }
@@ -174,6 +186,18 @@
         first
     }
 
+    /// The notice to leave, which came at this time, where another process has taken over: also when that turns out after
+    /// the notice. Tells whether anything follows from it.
+    pub fn hand_over(&mut self, at_ms: f64) -> bool {
+        let drained = self.phase == Phase::Drained;
+        let first = self.become_(Phase::HandedOver);
+        if first {
+            self.notice_ms = self.notice_ms.or(Some(at_ms));
+            (self.drained, self.handed_over) = (drained, true);
+        }
+        first
+    }
+
     /// What the decision module says of its health.
     pub fn set_healthy(&mut self, good: bool) {
         self.healthy = good;
@@ -186,23 +210,31 @@
             Phase::Serving => {
                 Published { healthy: self.healthy, listed: Some(self.healthy || !self.listed_by_health) }
             }
+            Phase::HandedOver => Published { healthy: self.healthy && !self.drained, listed: None },
+            Phase::Finishing | Phase::Gone if self.handed_over => Published { healthy: false, listed: None },
             _ => Published { healthy: false, listed: Some(false) },
         }
     }
 
     /// When the kill comes, if the notice has; ms.
     pub fn kill_ms(&self) -> Option<f64> {
-        self.notice_ms.map(|since| since + self.times.stop_ms)
+        self.notice_ms.map(|since| since + self.stop_ms())
+    }
+
+    fn stop_ms(&self) -> f64 {
+        if self.handed_over { self.times.handover_stop_ms } else { self.times.stop_ms }
     }
 
     /// When the phase ends by time alone, ms.
     pub fn next_due(&self) -> Option<f64> {
         let since = self.notice_ms?;
-        let Times { grace_ms, stop_ms } = self.times;
+        let (grace_ms, stop_ms) = (self.times.grace_ms, self.stop_ms());
         match self.phase {
             Phase::Leaving => Some(since + (grace_ms * WORK_PART).min(stop_ms * WORK_STOP_PART)),
             Phase::ToldToGo => Some(since + grace_ms.min(stop_ms * CLOSE_STOP_PART)),
-            Phase::Closing => Some(since + (stop_ms - LAST_ANSWERS_MS).max(stop_ms * CLOSE_STOP_PART)),
+            Phase::Closing | Phase::HandedOver => {
+                Some(since + (stop_ms - LAST_ANSWERS_MS).max(stop_ms * CLOSE_STOP_PART))
+            }
             Phase::Finishing => Some((since + stop_ms - EXIT_MS).max(self.finishing_ms + WRITE_LEAST_MS)),
             Phase::Starting | Phase::StartingDrained | Phase::Serving | Phase::Drained | Phase::Gone => None,
         }
@@ -215,8 +247,8 @@
         let next = match self.phase {
             Phase::Leaving if due => Phase::ToldToGo,
             Phase::ToldToGo if due => Phase::Closing,
-            Phase::Closing | Phase::Finishing if done => Phase::Gone,
-            Phase::Closing if due => Phase::Finishing,
+            Phase::Closing | Phase::HandedOver | Phase::Finishing if done => Phase::Gone,
+            Phase::Closing | Phase::HandedOver if due => Phase::Finishing,
             Phase::Finishing if due => Phase::Gone,
             _ => return None,
         };
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use async_channel::Sender;
@@ -14,6 +14,7 @@
 use futures_lite::future;
 use pinepoint_clock::Clock;
 use pinepoint_facts::{Limit, Observer, Turn};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
 
 use super::connection::Guest;
 use super::counters::{Counters, count};
@@ -37,6 +38,8 @@
 #[derive(Debug)]
 pub struct Room {
     most: usize,
+    /// Connections of the other process of this server, which count against the same limit.
+    others: Cell<usize>,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     last: Cell<u64>,
     freed: Signal,
@@ -51,6 +54,7 @@
     pub fn new(most: usize, memory_mb: f64) -> Self {
         Room {
             most,
+            others: Cell::new(0),
             guests: RefCell::default(),
             last: Cell::new(0),
             freed: Signal::default(),
@@ -74,6 +78,12 @@
         guest
     }
 
+    /// The other process of this server holds so many connections.
+    pub fn set_others(&self, others: usize) {
+        self.others.set(others);
+        self.freed.wake();
+    }
+
     fn left(&self, id: u64) {
         self.guests.borrow_mut().remove(&id);
         self.freed.wake();
@@ -91,7 +101,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.guests.borrow().len() >= self.most
+        self.guests.borrow().len() + self.others.get() >= self.most
     }
 
     /// Asks one connection to make way that was not asked yet: one that only waits for its other side to close, the
@@ -175,6 +185,28 @@
     }
 }
 
+/// Listens at an address at which other processes of this user may listen too: one that is started beside this one, and
+/// cannot reach it.
+pub fn bind_shared(address: SocketAddr) -> io::Result<TcpListener> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    rustix::net::bind(&socket, &address)?;
+    rustix::net::listen(&socket, BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// What a listener turns to.
+enum Next {
+    /// A connection, or why there is none.
+    Accepted(io::Result<Async<TcpStream>>),
+    /// Accepting was switched off or on.
+    Changed,
+    /// The end.
+    Shut,
+}
+
 /// Accepts connections until the core shuts the doors and nobody stands before this one; `serve` has each, of `most` at
 /// a time. What it returns is the reason code of the end.
 pub async fn listen<F: Future<Output = &'static str> + 'static>(
@@ -192,8 +224,18 @@
     loop {
         let shut = async {
             front.status.shut.passed().await;
-            None
+            Next::Shut
         };
+        if !front.status.accepting.is_on() {
+            let resumed = async {
+                front.status.accepting.until(true).await;
+                Next::Changed
+            };
+            match future::or(resumed, shut).await {
+                Next::Shut => break,
+                _ => continue,
+            }
+        }
         if front.room.is_full() || mine.get() >= most {
             // Descriptors are kept for the links; those that knock wait in the backlog until one gives way.
             // Nobody is asked to go before one knocks, or all are to go anyhow.
@@ -202,7 +244,10 @@
                 front.room.freed.wait().await;
                 false
             };
-            let shut = async { shut.await.is_none() };
+            let shut = async {
+                shut.await;
+                false
+            };
             if future::or(knocks, future::or(freed, shut)).await {
                 if front.room.is_full() {
                     front.room.make_way(front.clock.now());
@@ -213,9 +258,14 @@
             continue;
         }
         // Those in the backlog come before the end: dropped with the listener, they would be lost.
-        let accepted = async { Some(listener.accept().await) };
-        match future::or(accepted, shut).await {
-            Some(Ok((stream, _))) => {
+        let accepted = async { Next::Accepted(listener.accept().await.map(|(stream, _)| stream)) };
+        let paused = async {
+            front.status.accepting.until(false).await;
+            Next::Changed
+        };
+        match future::or(paused, future::or(accepted, shut)).await {
+            Next::Changed => {}
+            Next::Accepted(Ok(stream)) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 count(&front.counters.connections);
                 let began = front.clock.now();
@@ -244,12 +294,12 @@
                 // Each gets to read before another is asked to make way.
                 future::yield_now().await;
             }
-            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Some(Err(error)) => {
+            Next::Accepted(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Next::Accepted(Err(error)) => {
                 tracing::warn!(%error, "accept-failed");
                 front.clock.pause(FULL_MS).await;
             }
-            None => break,
+            Next::Shut => break,
         }
     }
     // The socket goes before the door counts as shut.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! - [`rpc`] and [`ajp`] are the fronts, [`listen`] what they share.
 //! - [`links`] are the connections to engine, store and membership service.
 //! - [`management`] is the operators' port: [`counters`] and the drain.
+//! - [`handover`] is the way to another process of this server, during an upgrade.
 //! - [`fleet`] tells others what this comparer is and does.
 //! - [`telemetry`] is what counts are brought out by, beside the [`counters`]; [`status`] is what the core publishes.
 
@@ -12,6 +13,7 @@
 pub mod core;
 pub mod counters;
 pub mod fleet;
+pub mod handover;
 pub mod keys;
 pub mod lifecycle;
 pub mod links;
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -1,9 +1,13 @@
 //! The core's ports: everything that reaches it, and the narrow traits through which it reaches fronts and
 //! links. It owns these types only; it must never hold state, know a wire or decide.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use pinepoint_facts::Front;
+use pinepoint_handover::message::{Hello, Message};
+use pinepoint_handover::ownership::NoPredecessor;
 
 use crate::settings::Site;
 use crate::{Failure, Outcome, Refusal};
@@ -43,6 +47,63 @@
     fn drop_call(&self, call: u64);
 }
 
+/// The other process of this server during an upgrade, as the core reaches it: the predecessor that it takes over from, or the
+/// successor that takes over from it. Nothing here waits.
+pub trait HandoverPort {
+    /// Sends to the predecessor; nothing is sent where there is none.
+    fn send_to_predecessor(&self, message: &Message);
+    /// Sends to the successor; nothing is sent where there is none.
+    fn send_to_successor(&self, message: &Message);
+    /// Ends the link to the predecessor; nothing is told of it any more.
+    fn drop_predecessor(&self);
+    /// Ends the link to the successor; nothing is told of it any more.
+    fn drop_successor(&self);
+    /// Looks for the predecessor again, which is told by [`PeerInput`].
+    fn find_predecessor(&self);
+    /// Listens for a successor, in place of whoever listened before.
+    fn listen_for_successor(&self);
+    /// Closes the listening sockets that were kept for a successor.
+    fn release_listeners(&self);
+    /// The other process holds so many connections of callers.
+    fn set_peer_connections(&self, connections: usize);
+}
+
+/// What the core is told of the other process of this server.
+#[derive(Debug)]
+pub enum PeerInput {
+    /// A predecessor was found, and said this.
+    PredecessorFound(Hello),
+    /// None was found.
+    NoPredecessor(NoPredecessor),
+    /// A message of the predecessor.
+    FromPredecessor(Message),
+    /// The link to the predecessor is over.
+    PredecessorLost,
+    /// A successor has connected.
+    SuccessorFound,
+    /// A message of the successor.
+    FromSuccessor(Message),
+    /// The link to the successor is over.
+    SuccessorLost,
+}
+
+/// What the other process has told and the core has not taken yet. It does not stand in line behind requests: it is bounded by
+/// what the other process may have on its way.
+#[derive(Debug, Default)]
+pub struct PeerInbox(RefCell<VecDeque<PeerInput>>);
+
+impl PeerInbox {
+    /// Puts one in.
+    pub fn push(&self, input: PeerInput) {
+        self.0.borrow_mut().push_back(input);
+    }
+
+    /// Takes the oldest out.
+    pub fn pop(&self) -> Option<PeerInput> {
+        self.0.borrow_mut().pop_front()
+    }
+}
+
 /// The doors of the process, as one that leaves looks at them.
 pub trait Doors {
     /// Listening sockets that are open, or that someone stands before.
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -102,6 +102,12 @@
         self.last
     }
 
+    /// A number never used before, for a request that is not in the table: it is in another process.
+    pub fn number(&mut self) -> u32 {
+        self.last += 1;
+        self.last
+    }
+
     /// The request of this number.
     pub fn get(&self, id: u32) -> Option<&Open> {
         self.open.get(&id)
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -3,10 +3,10 @@
 use std::cell::Cell;
 
 use super::lifecycle::Phase;
-use super::sync::{Gate, Signal};
+use super::sync::{Gate, Signal, Switch};
 
 /// What the core publishes for the fronts and the membership report to read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Status {
     /// Health checks are answered with this.
     pub healthy: Cell<bool>,
@@ -24,8 +24,28 @@
     pub listed: Cell<Option<bool>>,
     /// Wakes the membership report.
     pub report: Signal,
+    /// Connections are accepted. Off while another process accepts on the sockets that both hold.
+    pub accepting: Switch,
     /// The doors shut from now on, behind those who stand before them.
     pub shut: Gate,
     /// All that was read is answered, and nothing more is taken in: the process is about to end.
     pub finishing: Gate,
 }
+
+impl Default for Status {
+    fn default() -> Self {
+        Status {
+            healthy: Cell::default(),
+            hint: Cell::default(),
+            notice_ms: Cell::default(),
+            drain: Cell::default(),
+            notice: Signal::default(),
+            phase: Cell::default(),
+            listed: Cell::default(),
+            report: Signal::default(),
+            accepting: Switch::new(true),
+            shut: Gate::default(),
+            finishing: Gate::default(),
+        }
+    }
+}
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -1,6 +1,9 @@
 //! Wake-ups between tasks of the one thread. It owns nothing else.
 
+use std::cell::Cell;
+
 use async_channel::{Receiver, Sender};
+use event_listener::Event;
 
 /// A wake-up that is kept until it is awaited; many in a row count as one.
 #[derive(Debug)]
@@ -50,3 +53,37 @@
         let _ = self.1.recv().await;
     }
 }
+
+/// A state that is on or off, and that any number of tasks may wait for.
+#[derive(Debug)]
+pub struct Switch {
+    on: Cell<bool>,
+    changed: Event,
+}
+
+impl Switch {
+    /// One that is in this state.
+    pub fn new(on: bool) -> Self {
+        Switch { on: Cell::new(on), changed: Event::new() }
+    }
+
+    /// Its state.
+    pub fn is_on(&self) -> bool {
+        self.on.get()
+    }
+
+    /// Sets its state.
+    pub fn set(&self, on: bool) {
+        if self.on.replace(on) != on {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Completes once it is in this state.
+    pub async fn until(&self, on: bool) {
+        while self.on.get() != on {
+            // One thread: nothing changes between the look and the listening.
+            self.changed.listen().await;
+        }
+    }
+}
