Let the newest peer at the handover socket have its turn, and scale the management port to the limit

Seen by tests/upgrade.rs: 32 silent strangers held all eight greetings for a second, so that a successor gave up and served alone (105 of 476 requests failed as unknown keys); now the oldest greeting gives way. With 48 descriptors the management port kept 17 of them from clients, 20 of whom found no room; now a sixteenth, 4 to 16.

--- a/crates/pinepoint-handover/src/io.rs
+++ b/crates/pinepoint-handover/src/io.rs
@@ -1,7 +1,7 @@
 //! The socket between the two processes: the only file that does I/O. It decides nothing but whom it talks to.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use pinepoint_facts::reasons;
@@ -34,7 +34,7 @@
 /// How long a peer may take for its preamble, and a predecessor for its hello too.
 const GREETING_TIME: Duration = Duration::from_secs(1);
 /// Connections that are being greeted at once.
-const GREETED_AT_ONCE: u32 = 8;
+const GREETED_AT_ONCE: usize = 8;
 /// Listening sockets that are passed at most.
 pub const LISTENERS_MOST: usize = 8;
 /// Bytes that wait to be sent at most.
@@ -201,7 +201,7 @@
         OtherVersion = "other-version",
         /// Its connection failed.
         Closed = "closed-in-preamble",
-        /// Too many are being greeted.
+        /// Too many are being greeted, and it was the oldest of them.
         TooMany = "too-many-greeted",
     }
 }
@@ -224,7 +224,8 @@
 pub struct Acceptor {
     socket: Async<UnixListener>,
     listeners: RefCell<Vec<OwnedFd>>,
-    greeted: Cell<u32>,
+    /// Connections that are being greeted, the oldest first.
+    greeting: RefCell<BTreeMap<u64, Task<()>>>,
 }
 
 impl Acceptor {
@@ -245,7 +246,7 @@
         let socket = bind_and_rename(path, &temporary).inspect_err(|_| {
             let _ = std::fs::remove_file(&temporary);
         })?;
-        Ok(Acceptor { socket, listeners: RefCell::new(listeners), greeted: Cell::new(0) })
+        Ok(Acceptor { socket, listeners: RefCell::new(listeners), greeting: RefCell::default() })
     }
 
     /// Closes its copies of the listening sockets: none is passed from here on, and a successor finds none.
@@ -271,7 +272,9 @@
             match future::or(accepted, closed).await {
                 None => return,
                 Some(Ok((stream, _))) => {
-                    executor.spawn(self.clone().greet(number, stream, peers.clone())).detach();
+                    self.make_way();
+                    let task = executor.spawn(self.clone().greet(number, stream, peers.clone()));
+                    self.greeting.borrow_mut().insert(number, task);
                     number += 1;
                 }
                 // No descriptors, or a peer that is gone again.
@@ -283,14 +286,20 @@
         }
     }
 
-    async fn greet(self: Rc<Self>, number: u64, stream: Async<UnixStream>, peers: Sender<Accepted>) {
-        if self.greeted.get() >= GREETED_AT_ONCE {
+    /// Ends the oldest greeting where there are too many: a successor speaks at once, and must not wait for those who do not.
+    fn make_way(&self) {
+        let mut greeting = self.greeting.borrow_mut();
+        if greeting.len() >= GREETED_AT_ONCE {
             tracing::warn!(reason = %Rejected::TooMany, "handover-rejected");
-            return;
+            greeting.pop_first();
         }
-        self.greeted.set(self.greeted.get() + 1);
+    }
+
+    async fn greet(self: Rc<Self>, number: u64, stream: Async<UnixStream>, peers: Sender<Accepted>) {
         let greeted = within_greeting_time(self.greet_successor(number, stream), Rejected::Silent).await;
-        self.greeted.set(self.greeted.get() - 1);
+        if let Some(task) = self.greeting.borrow_mut().remove(&number) {
+            task.detach();
+        }
         match greeted {
             Ok(accepted) => {
                 let _ = peers.send(accepted).await;
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -334,7 +334,8 @@
 fn serve(config: Config, edge: Edge, edge_file: Option<PathBuf>, mut signs: Signs) -> Result<(), StartError> {
     let management_address = management_address(&config)?;
     let reserved = (config.sockets / RESERVED_PART).clamp(RESERVED_LEAST, RESERVED_MOST);
-    let reserved = reserved + management_address.map_or(0, |_| 1 + management::CONNECTIONS_MOST);
+    let management_most = management::most_connections(config.sockets);
+    let reserved = reserved + management_address.map_or(0, |_| 1 + management_most);
     let connections = config.sockets.saturating_sub(reserved).max(1);
     let (name, site, seed) = (config.name.clone(), config.site.clone(), config.seed);
     let deployment = Rc::new(Deployment::new(site.clone()));
@@ -367,7 +368,8 @@
             counters: counters.clone(),
             clock: clock.clone(),
         };
-        executor.spawn(management::listen(listener, Rc::new(management), executor.clone())).detach();
+        let port = management::listen(listener, management_most, Rc::new(management), executor.clone());
+        executor.spawn(port).detach();
     }
     let setup = edge.setup();
     let telemetry = (!setup.is_off()).then(|| {
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -18,6 +18,8 @@
 use super::status::Status;
 use super::sync::Signal;
 
+/// Descriptors that the other process holds beside the connections of its callers.
+const OTHER_DESCRIPTORS: usize = 20;
 /// Successors that have connected and wait to be looked at.
 const ACCEPTED_MOST: usize = 4;
 
@@ -246,6 +248,7 @@
     }
 
     fn set_peer_connections(&self, connections: usize) {
-        self.host.room.set_others(connections);
+        let own = if self.predecessor.borrow().is_some() { OTHER_DESCRIPTORS } else { 0 };
+        self.host.room.set_others(connections + own);
     }
 }
--- a/src/node/management.rs
+++ b/src/node/management.rs
@@ -18,8 +18,11 @@
 use super::sync::Signal;
 use crate::deployment::Deployment;
 
-/// Connections at a time. One that has not sent its line gives way to the next, the oldest first.
-pub const CONNECTIONS_MOST: usize = 16;
+/// Connections at a time, as a part of the descriptors and between two bounds. One that has not sent its line gives way to
+/// the next, the oldest first.
+const CONNECTIONS_PART: usize = 16;
+const CONNECTIONS_LEAST: usize = 4;
+const CONNECTIONS_MOST: usize = 16;
 /// Longest line, bytes, its end included.
 const LINE_MOST: usize = 256;
 /// Time in which a connection has to bring its line, ms.
@@ -31,6 +34,11 @@
 /// Wait after a connection that could not be accepted, ms.
 const ACCEPT_AGAIN_MS: f64 = 50.0;
 
+/// Connections at a time in a process that may hold so many descriptors.
+pub fn most_connections(descriptors: usize) -> usize {
+    (descriptors / CONNECTIONS_PART).clamp(CONNECTIONS_LEAST, CONNECTIONS_MOST)
+}
+
 /// What an operator may ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -165,8 +173,8 @@
 }
 
 /// The connections that are open, each with the signal that asks it to give way.
-#[derive(Default)]
 struct Connections {
+    most: usize,
     open: RefCell<BTreeMap<u64, Rc<Signal>>>,
     last: Cell<u64>,
 }
@@ -175,7 +183,7 @@
     /// Enters a connection; the oldest is asked to give way where there are too many.
     fn enter(&self) -> (u64, Rc<Signal>) {
         let mut open = self.open.borrow_mut();
-        if open.len() >= CONNECTIONS_MOST
+        if open.len() >= self.most
             && let Some((_, oldest)) = open.pop_first()
         {
             oldest.wake();
@@ -192,13 +200,14 @@
     }
 }
 
-/// Accepts connections for as long as the process lives.
+/// Accepts connections, of which there are `most` at a time, for as long as the process lives.
 pub async fn listen(
     listener: Async<TcpListener>,
+    most: usize,
     management: Rc<Management>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    let connections = Rc::new(Connections::default());
+    let connections = Rc::new(Connections { most, open: RefCell::default(), last: Cell::new(0) });
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -4,11 +4,13 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use Phase::{Closing, Drained, Finishing, Gone, Leaving, Serving, Starting, StartingDrained, ToldToGo};
+use Phase::{
+    Closing, Drained, Finishing, Gone, HandedOver, Leaving, Serving, Starting, StartingDrained, ToldToGo,
+};
 
-const ALL: [Phase; 9] =
-    [Starting, StartingDrained, Serving, Drained, Leaving, ToldToGo, Closing, Finishing, Gone];
-const TIMES: Times = Times { grace_ms: 1000.0, stop_ms: 2000.0 };
+const ALL: [Phase; 10] =
+    [Starting, StartingDrained, Serving, Drained, Leaving, ToldToGo, HandedOver, Closing, Finishing, Gone];
+const TIMES: Times = Times { grace_ms: 1000.0, stop_ms: 2000.0, handover_stop_ms: 1500.0 };
 const NOTHING: Left = Left { doors: 0, connections: 0, owed: false };
 const DOOR: Left = Left { doors: 1, ..NOTHING };
 
@@ -41,10 +43,16 @@
         (StartingDrained, Closing),
         (Serving, Drained),
         (Serving, Leaving),
+        (Serving, HandedOver),
         (Drained, Serving),
         (Drained, Leaving),
+        (Drained, HandedOver),
         (Leaving, ToldToGo),
+        (Leaving, HandedOver),
+        (ToldToGo, HandedOver),
         (ToldToGo, Closing),
+        (HandedOver, Finishing),
+        (HandedOver, Gone),
         (Closing, Finishing),
         (Closing, Gone),
         (Finishing, Gone),
@@ -105,8 +113,79 @@
     }
 }
 
+#[test]
+fn a_drain_by_operators_ends_and_begins_in_any_phase_that_serves() {
+    let mut life = Lifecycle::new(TIMES, true);
+    assert!(life.set_drained(true));
+    assert_eq!(life.published(), Published { healthy: false, listed: None }, "the engine is not up");
+    assert!(life.engine_up());
+    life.set_healthy(true);
+    assert_eq!(life.phase(), Drained);
+    assert_eq!(life.published(), Published { healthy: false, listed: Some(false) });
+    assert!(life.set_drained(true), "asked twice, it stays");
+    assert!(!life.engine_up(), "an engine that comes back ends no drain");
+    assert_eq!(life.phase(), Drained);
+    assert!(life.set_drained(false));
+    assert!(life.set_drained(false), "nothing to end");
+    assert_eq!(life.published(), Published { healthy: true, listed: Some(true) });
+}
+
+#[test]
+fn the_notice_ends_a_drain_by_operators_in_either_order() {
+    for drained_first in [true, false] {
+        let mut life = serving();
+        if drained_first {
+            assert!(life.set_drained(true));
+        }
+        assert!(life.notice(0.0));
+        assert!(life.set_drained(true), "it takes no new work anyhow");
+        assert!(!life.set_drained(false), "there is no way back");
+        assert_eq!(life.phase(), Leaving);
+        assert_eq!(life.published(), Published { healthy: false, listed: Some(false) });
+    }
+    let mut life = Lifecycle::new(TIMES, true);
+    assert!(life.set_drained(true));
+    assert!(life.notice(0.0));
+    assert_eq!(life.phase(), Closing, "one that never served has nobody to wait for");
+}
+
+#[test]
+fn one_that_is_handed_over_stays_healthy_and_is_no_business_of_the_list() {
+    let mut life = serving();
+    assert!(life.hand_over(5000.0));
+    assert_eq!(life.published(), Published { healthy: true, listed: None });
+    assert_eq!(advance(&mut life, 5001.0, DOOR), HandedOver);
+    assert_eq!(life.kill_ms(), Some(6500.0));
+    assert_eq!(advance(&mut life, 6300.0, DOOR), Finishing);
+    assert_eq!(life.published(), Published { healthy: false, listed: None });
+    assert_eq!(advance(&mut life, 6440.0, DOOR), Gone);
+
+    let mut life = serving();
+    life.set_drained(true);
+    assert!(life.hand_over(5000.0));
+    assert_eq!(life.published(), Published { healthy: false, listed: None }, "drained, it stays so");
+    assert_eq!(advance(&mut life, 5001.0, NOTHING), Gone, "nothing keeps it");
+}
+
+#[test]
+fn a_take_over_that_comes_behind_the_notice_ends_the_reports() {
+    let mut life = serving();
+    assert!(life.notice(5000.0));
+    assert_eq!(life.published(), Published { healthy: false, listed: Some(false) });
+    assert!(life.hand_over(5400.0));
+    assert_eq!(life.published().listed, None);
+    assert_eq!(life.kill_ms(), Some(6500.0), "the kill counts from the notice");
+    assert!(!life.hand_over(5500.0));
+    let mut late = serving();
+    late.notice(0.0);
+    advance(&mut late, 1000.0, DOOR);
+    assert!(!late.hand_over(1001.0), "its doors are shut");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
+    Drain(bool),
+    HandOver,
     Up,
     Notice,
     Health(bool),
@@ -126,32 +205,50 @@
             1 => Just(Step::Up),
             1 => Just(Step::Notice),
             1 => any::<bool>().prop_map(Step::Health),
+            1 => any::<bool>().prop_map(Step::Drain),
+            1 => Just(Step::HandOver),
             4 => (0.0..1500.0f64, any::<bool>()).prop_map(|(ms, left)| Step::Pass(ms, left)),
         ], 1..20),
     ) {
-        let mut life = Lifecycle::new(Times { grace_ms, stop_ms }, true);
-        let (mut now, mut told) = (1e12, None);
+        let handover_stop_ms = stop_ms * 0.9;
+        let mut life = Lifecycle::new(Times { grace_ms, stop_ms, handover_stop_ms }, true);
+        let (mut now, mut told, mut handed_over) = (1e12, None, false);
         for step in &steps {
             let before = life.phase();
             match step {
                 Step::Up => {
-                    prop_assert_eq!(life.engine_up(), before == Starting);
+                    prop_assert_eq!(life.engine_up(), matches!(before, Starting | StartingDrained));
                 }
                 Step::Notice => {
                     prop_assert_eq!(life.notice(now), told.is_none());
                     told = told.or(Some(now));
                 }
                 Step::Health(good) => life.set_healthy(*good),
+                Step::Drain(drained) => {
+                    prop_assert_eq!(life.set_drained(*drained), before < Leaving || *drained && before != Gone);
+                }
+                Step::HandOver => {
+                    let may = matches!(before, Serving | Drained | Leaving | ToldToGo);
+                    prop_assert_eq!(life.hand_over(now), may);
+                    handed_over |= may;
+                    told = told.or(may.then_some(now));
+                }
                 Step::Pass(ms, left) => {
                     now += ms;
                     advance(&mut life, now, if *left { DOOR } else { NOTHING });
                 }
             }
-            prop_assert!(life.phase() >= before);
+            let back = matches!((before, life.phase()), (StartingDrained, Starting) | (Drained, Serving));
+            prop_assert!(life.phase() >= before || back && matches!(step, Step::Drain(false)));
             let published = life.published();
-            if told.is_some() {
+            if handed_over {
+                prop_assert_eq!(published.listed, None);
+            } else if told.is_some() {
                 prop_assert_eq!(published, Published { healthy: false, listed: Some(false) });
             }
+            if matches!(life.phase(), StartingDrained | Drained) {
+                prop_assert!(!published.healthy && published.listed != Some(true));
+            }
             if let Some(since) = told {
                 let kill = (since + stop_ms).max(now + 100.0);
                 prop_assert!(life.phase() == Gone || life.next_due().is_some_and(|due| due <= kill));
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -29,7 +29,7 @@
 fn document() -> Value {
     json!({
         "name": "n1", "listen": "127.0.0.1:1", "engine": "127.0.0.1:2", "members": "127.0.0.1:3",
-        "store": "127.0.0.1:4", "seed": "8c1f", "stop_ms": 3000, "management": {"path": "127.0.0.1:5"},
+        "store": "127.0.0.1:4", "seed": "8c1f", "stop_ms": 3000, "management": "127.0.0.1:5",
         "limits": {"cores": 1, "memory_mb": 32, "sockets": 256},
         "settings": {
             "services": [
@@ -125,8 +125,7 @@
     let mut all = Vec::new();
     pointers(&document(), "", &mut all);
     assert!(all.len() > 70, "{all:?}");
-    let optional =
-        ["/management", "/management/path", "/settings/prices/fleet", "/settings/services/2/aimStretch"];
+    let optional = ["/management", "/settings/prices/fleet", "/settings/services/2/aimStretch"];
     for pointer in &all {
         let taken = next(&first, &without(&document(), pointer));
         match taken {
