Give a class that a reload adds series of its own in telemetry

The schema was fixed at the start, so facts about a later class were passed over. A wider schema now takes its place: running totals move to their new places, classes of one name share their series, and each destination gets a new delivery that counts from the last interval while the old one sends what it has (at most two; older ones are dropped and counted). Tests: Graphite with a receiver that is down over the reload, and collectd.

--- a/crates/pinepoint-telemetry/src/accounts.rs
+++ b/crates/pinepoint-telemetry/src/accounts.rs
@@ -28,6 +28,8 @@
 pub struct Accounts {
     schema: Rc<Schema>,
     classes: Vec<Class>,
+    /// For each class the place of its series in the schema: classes of one name share theirs.
+    series: Vec<usize>,
     by_work: bool,
     hints: Vec<(f64, f64)>,
     totals: Vec<f64>,
@@ -45,15 +47,38 @@
         let hints = vec![(0.0, 0.0); classes.len()];
         let totals = vec![0.0; schema.counts()];
         let dists = vec![Growing::default(); schema.dists()];
-        Accounts { schema, classes, by_work, hints, totals, dists }
+        let series = (0..classes.len()).collect();
+        Accounts { schema, classes, series, by_work, hints, totals, dists }
+    }
+
+    /// Goes on with other classes, at the least as many as before, and with the place of each one's series in this
+    /// schema. It is that of before, or has more classes; what was counted stays.
+    pub fn set_classes(
+        &mut self,
+        schema: Rc<Schema>,
+        classes: Vec<Class>,
+        series: Vec<usize>,
+        by_work: bool,
+    ) {
+        self.totals = schema.widen(&self.schema, &self.totals);
+        self.dists.resize_with(schema.dists(), Growing::default);
+        self.hints.resize(schema.classes().len(), (0.0, 0.0));
+        (self.schema, self.classes, self.series, self.by_work) = (schema, classes, series, by_work);
+    }
+
+    /// Open requests by series, from those by class.
+    pub fn open_by_series(&self, state: &State) -> Vec<u64> {
+        let mut open = vec![0; self.schema.classes().len()];
+        for (series, n) in self.series.iter().zip(&state.open) {
+            open[*series] += n;
+        }
+        open
     }
 
     /// Takes one fact. One about a class that does not exist is passed over.
     pub fn note(&mut self, fact: &Fact) {
-        let class = fact.class;
-        if class >= self.classes.len() {
-            return;
-        }
+        let Some(plan) = self.classes.get(fact.class).copied() else { return };
+        let class = self.series[fact.class];
         match fact.kind {
             Kind::Read { again, hint_ms, .. } => {
                 self.add(class, Plain::Read, 1.0);
@@ -63,7 +88,7 @@
                     *sum += hint_ms;
                     *count += 1.0;
                 }
-                let asked = self.classes[class].worth * self.units(class, hint_ms);
+                let asked = plan.worth * self.units(class, hint_ms);
                 self.add(class, Plain::Asked, asked);
             }
             Kind::Decided(_) => {}
@@ -84,7 +109,9 @@
             Kind::Answered { answer, hint_ms, took_ms } => {
                 self.record(class, TOTAL, took_ms);
                 match answer {
-                    Answer::Served { reused, poorer } => self.served(class, reused, poorer, hint_ms, took_ms),
+                    Answer::Served { reused, poorer } => {
+                        self.served(class, plan, reused, poorer, hint_ms, took_ms)
+                    }
                     Answer::Refused(why) => self.totals[self.schema.refused(class, why)] += 1.0,
                     Answer::Failed(why) => self.totals[self.schema.failed(class, why)] += 1.0,
                 }
@@ -97,8 +124,15 @@
         }
     }
 
-    fn served(&mut self, class: usize, reused: bool, poorer: bool, hint_ms: Option<f64>, took_ms: f64) {
-        let plan = self.classes[class];
+    fn served(
+        &mut self,
+        class: usize,
+        plan: Class,
+        reused: bool,
+        poorer: bool,
+        hint_ms: Option<f64>,
+        took_ms: f64,
+    ) {
         let in_aim = took_ms <= plan.aim_ms + plan.aim_stretch * hint_ms.unwrap_or(0.0);
         self.add(class, if in_aim { Plain::InAim } else { Plain::Late }, 1.0);
         self.add(class, Plain::Reused, f64::from(u8::from(reused)));
@@ -137,6 +171,7 @@
     /// By how many requests the law `read = served + refused + failed + expired + gone + open` is off, over all
     /// classes, where `open` is what the core counts in its own tables at this instant.
     pub fn law_off(&self, state: &State) -> f64 {
+        let open = self.open_by_series(state);
         let of_class = |class: usize| {
             let plain = |plain| self.totals[self.schema.plain(class, plain)];
             let sum = |from: usize, n: usize| self.totals[from..from + n].iter().sum::<f64>();
@@ -145,10 +180,9 @@
             let failed = sum(self.schema.failed(class, Reason::ALL[0]), pinepoint_facts::Failure::ALL.len());
             let served = plain(Plain::InAim) + plain(Plain::Late);
             let ended = served + refused + failed + plain(Plain::Expired) + plain(Plain::Gone);
-            let open = state.open.get(class).copied().unwrap_or(0) as f64;
-            (plain(Plain::Read) - ended - open).abs()
+            (plain(Plain::Read) - ended - open[class] as f64).abs()
         };
-        (0..self.classes.len()).map(of_class).sum()
+        (0..open.len()).map(of_class).sum()
     }
 
     /// Ends an interval: the totals as they stand, and its distributions, which begin anew.
@@ -162,6 +196,7 @@
     use pinepoint_facts::{Failure, Front, Refusal};
 
     use super::*;
+    use crate::schema::Scope;
 
     fn accounts(by_work: bool) -> Accounts {
         let schema = Schema::new(&["look".into(), "write".into()], &[], &[]);
@@ -232,6 +267,37 @@
         assert_eq!(accounts.law_off(&state), 1.0, "no such class");
     }
 
+    #[test]
+    fn more_classes_move_no_count_and_those_of_one_name_share_their_series() {
+        let mut accounts = accounts(false);
+        let told = |accounts: &Accounts, name: &str, stat: &str| {
+            let (totals, _) = accounts.clone().cut();
+            let is_named = |at: &usize| match accounts.schema.point(*at) {
+                (Scope::Class(class), word, _) => accounts.schema.classes()[class] == name && word == stat,
+                _ => false,
+            };
+            totals[(0..accounts.schema.counts()).find(is_named).expect("a series")]
+        };
+        accounts.note(&fact(0, read(None)));
+        accounts.note(&fact(1, read(None)));
+        accounts.set(accounts.schema.log_lines(), &[7]);
+        let names = ["look".into(), "write".into(), "more".into()];
+        let schema = Rc::new(accounts.schema.with_classes(&names));
+        let class = accounts.classes[0];
+        let dearer = Class { worth: 5.0, ..class };
+        accounts.set_classes(schema, vec![class, class, dearer, dearer], vec![0, 1, 2, 1], false);
+        for class in [0, 2, 2, 3] {
+            accounts.note(&fact(class, read(None)));
+            accounts.note(&fact(class, Kind::RunBegan { held_ms: 1.0 }));
+        }
+        let reads = ["look", "write", "more"].map(|name| told(&accounts, name, "read"));
+        assert_eq!(reads, [2.0, 2.0, 2.0]);
+        assert_eq!(told(&accounts, "write", "worth_asked"), 3.0 + 5.0, "each by its own terms");
+        assert_eq!(accounts.totals[accounts.schema.log_lines()], 7.0);
+        let state = State { open: vec![2, 1, 2, 1], ..State::default() };
+        assert_eq!((accounts.open_by_series(&state), accounts.law_off(&state)), (vec![2, 2, 2], 0.0));
+    }
+
     #[test]
     fn a_cut_keeps_totals_and_empties_distributions() {
         let mut accounts = accounts(false);
--- a/crates/pinepoint-telemetry/src/delivery.rs
+++ b/crates/pinepoint-telemetry/src/delivery.rs
@@ -231,6 +231,23 @@
     pub down: usize,
 }
 
+impl Figures {
+    /// Those of two deliveries to the same receivers, taken together.
+    pub fn plus(self, other: Figures) -> Figures {
+        Figures {
+            merged: self.merged + other.merged,
+            dropped: self.dropped + other.dropped,
+            sent: self.sent + other.sent,
+            doubted: self.doubted + other.doubted,
+            receipts: self.receipts + other.receipts,
+            breaks: self.breaks + other.breaks,
+            backlog: self.backlog + other.backlog,
+            backlog_bytes: self.backlog_bytes + other.backlog_bytes,
+            down: self.down.max(other.down),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Sent {
     send: u64,
--- a/crates/pinepoint-telemetry/src/io.rs
+++ b/crates/pinepoint-telemetry/src/io.rs
@@ -34,6 +34,8 @@
 const NOTIFICATIONS_MOST: usize = 64;
 /// Least intervals that a spool can hold beside those in its window.
 const BESIDE_WINDOW: usize = 4;
+/// Deliveries of narrower schemas that a destination may still be working off; what an older one holds is dropped.
+const SUPERSEDED_MOST: usize = 2;
 
 /// What operators chose.
 #[derive(Clone, Debug, Default)]
@@ -87,10 +89,13 @@
 
 /// Telemetry of one process.
 pub struct Telemetry {
-    schema: Rc<Schema>,
+    schema: RefCell<Rc<Schema>>,
     clock: Clock,
     source: Rc<dyn Source>,
     accounts: RefCell<Accounts>,
+    /// Totals at the end of the last interval: what a new delivery counts from.
+    last_totals: RefCell<Rc<[f64]>>,
+    setup: Setup,
     slots: Cell<Slots>,
     /// An interval is due, and the core was asked for its state.
     due: Cell<bool>,
@@ -100,6 +105,10 @@
     leaving: Cell<Option<f64>>,
     limits: RefCell<HashMap<&'static str, f64>>,
     destinations: [RefCell<Option<Destination>>; DESTINATIONS.len()],
+    /// Deliveries whose schema lacks classes that were added since: they send what they have and take no more.
+    superseded: [RefCell<Vec<Destination>>; DESTINATIONS.len()],
+    /// Figures of the superseded ones that are gone.
+    past: [Cell<Figures>; DESTINATIONS.len()],
     /// To the one destination that takes notifications; nobody listens where it is off.
     notifications: (Sender<Notification>, Receiver<Notification>),
     host: String,
@@ -114,6 +123,7 @@
     _task: Task<()>,
     done: Receiver<()>,
     receivers: Vec<String>,
+    superseded: Rc<Cell<bool>>,
 }
 
 impl Telemetry {
@@ -123,7 +133,9 @@
         let slots = Slots::new(clock.now(), setup.telemetry.every_s.get() as u64);
         let telemetry = Rc::new(Telemetry {
             accounts: RefCell::new(Accounts::new(schema.clone(), classes, by_work)),
-            schema,
+            last_totals: RefCell::new(vec![0.0; schema.counts()].into()),
+            schema: RefCell::new(schema),
+            setup: setup.clone(),
             clock,
             source,
             slots: Cell::new(slots),
@@ -134,12 +146,14 @@
             leaving: Cell::new(None),
             limits: RefCell::default(),
             destinations: Default::default(),
+            superseded: Default::default(),
+            past: Default::default(),
             notifications: async_channel::bounded(NOTIFICATIONS_MOST),
             host,
             executor: executor.clone(),
             seed: Cell::new(seed),
         });
-        telemetry.set_up(setup);
+        telemetry.set_up();
         let cutter = telemetry.clone();
         executor.spawn(async move { cutter.cut_intervals().await }).detach();
         telemetry
@@ -166,26 +180,107 @@
         left_alone
     }
 
-    fn set_up(&self, setup: &Setup) {
+    /// Goes on with these classes, by index: their names, and what they are judged by. The first must be those there
+    /// were. Classes of one name share their series, and a name that is new gets series of its own.
+    pub fn set_classes(&self, names: &[String], classes: Vec<Class>, by_work: bool) {
+        let before = self.schema();
+        let mut series_names = before.classes().to_vec();
+        let mut series = Vec::new();
+        for name in names {
+            let at = series_names.iter().position(|known| known == name).unwrap_or(series_names.len());
+            if at == series_names.len() {
+                series_names.push(name.clone());
+            }
+            series.push(at);
+        }
+        let is_wider = series_names.len() > before.classes().len();
+        let schema = if is_wider { Rc::new(before.with_classes(&series_names)) } else { before.clone() };
+        self.accounts.borrow_mut().set_classes(schema.clone(), classes, series, by_work);
+        if is_wider {
+            let totals = schema.widen(&before, &self.last_totals.borrow());
+            *self.last_totals.borrow_mut() = totals.into();
+            *self.schema.borrow_mut() = schema;
+            self.supersede();
+        }
+    }
+
+    /// Puts a delivery with the schema of now in the place of each. The old ones send what they have.
+    fn supersede(&self) {
+        let receivers: Vec<Option<Vec<String>>> = self
+            .destinations
+            .iter()
+            .map(|destination| destination.borrow().as_ref().map(|destination| destination.receivers.clone()))
+            .collect();
+        for (at, destination) in self.destinations.iter().enumerate() {
+            let Some(destination) = destination.take() else { continue };
+            destination.superseded.set(true);
+            let _ = destination.events.try_send(Event::Leave);
+            let mut superseded = self.superseded[at].borrow_mut();
+            superseded.push(destination);
+            while superseded.len() > SUPERSEDED_MOST {
+                let figures = superseded.remove(0).figures.get();
+                if figures.backlog > 0 {
+                    tracing::warn!(to = DESTINATIONS[at], intervals = figures.backlog, "telemetry-dropped");
+                }
+                let dropped = figures.dropped + figures.backlog as u64;
+                self.add_past(at, Figures { dropped, ..figures });
+            }
+        }
+        self.set_up();
+        // Those of a reload since the start stay.
+        for (receivers, destination) in receivers.into_iter().zip(&self.destinations) {
+            if let (Some(names), Some(destination)) = (receivers, destination.borrow_mut().as_mut())
+                && names != destination.receivers
+            {
+                destination.receivers.clone_from(&names);
+                let _ = destination.events.try_send(Event::Receivers(names));
+            }
+        }
+    }
+
+    fn add_past(&self, at: usize, figures: Figures) {
+        let gone = Figures { backlog: 0, backlog_bytes: 0, down: 0, ..figures };
+        self.past[at].set(self.past[at].get().plus(gone));
+    }
+
+    /// Figures of a destination since the start, all its deliveries together.
+    fn figures(&self, at: usize) -> Figures {
+        self.superseded[at].borrow_mut().retain(|destination| {
+            let figures = destination.figures.get();
+            let has_left = destination.done.try_recv().is_ok() && figures.backlog == 0;
+            if has_left {
+                self.add_past(at, figures);
+            }
+            !has_left
+        });
+        let superseded = self.superseded[at].borrow();
+        let current = self.destinations[at].borrow();
+        let all = superseded.iter().chain(current.iter()).map(|destination| destination.figures.get());
+        all.fold(self.past[at].get(), Figures::plus)
+    }
+
+    fn schema(&self) -> Rc<Schema> {
+        self.schema.borrow().clone()
+    }
+
+    fn set_up(&self) {
+        let (setup, schema) = (&self.setup, self.schema());
         let every_ms = setup.telemetry.every_s.get() as f64 * 1000.0;
         if let Some(graphite) = &setup.graphite {
-            let wire = Wire::graphite(&self.schema, &self.host, graphite);
+            let wire = Wire::graphite(&schema, &self.host, graphite);
             let names = graphite.receivers.names().to_vec();
             self.add(GRAPHITE, wire, names, graphite.rules(every_ms));
         }
         if let Some(collectd) = &setup.collectd {
-            let wire = Wire::collectd(&self.schema, &self.host, every_ms, collectd);
+            let wire = Wire::collectd(&schema, &self.host, every_ms, collectd);
             self.add(COLLECTD, wire, vec![collectd.address.to_string()], collectd.rules(every_ms));
         }
     }
 
     fn add(&self, at: usize, wire: Wire, receivers: Vec<String>, mut rules: Rules) {
-        let base: Rc<[f64]> = vec![0.0; self.schema.counts()].into();
+        let (base, schema) = (self.last_totals.borrow().clone(), self.schema());
         // A window that leaves room for some intervals beside it, however many classes there are.
-        let one = self.schema.counts() * 8
-            + self.schema.gauges() * 8
-            + self.schema.dists() * 400
-            + wire.paths().len() * 8;
+        let one = schema.counts() * 8 + schema.gauges() * 8 + schema.dists() * 400 + wire.paths().len() * 8;
         let room = (rules.spool.bytes / one.max(1)).saturating_sub(BESIDE_WINDOW);
         rules.spool.window = rules.spool.window.min(room).max(2);
         self.seed.set(self.seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15));
@@ -193,11 +288,12 @@
         let (events, told) = async_channel::unbounded();
         let (done, is_done) = async_channel::bounded(1);
         let figures = Rc::new(Cell::new(Figures::default()));
+        let superseded = Rc::new(Cell::new(false));
         let driver = Driver {
             what: DESTINATIONS[at],
             delivery,
             wire,
-            schema: self.schema.clone(),
+            schema,
             clock: self.clock.clone(),
             executor: self.executor.clone(),
             told,
@@ -207,9 +303,10 @@
             links: HashMap::new(),
             figures: figures.clone(),
             done,
+            superseded: superseded.clone(),
         };
         let task = self.executor.spawn(driver.run());
-        let destination = Destination { events, figures, _task: task, done: is_done, receivers };
+        let destination = Destination { events, figures, _task: task, done: is_done, receivers, superseded };
         *self.destinations[at].borrow_mut() = Some(destination);
     }
 
@@ -235,15 +332,16 @@
 
     /// Makes a snapshot of an interval that ended and hands it to all destinations.
     fn snapshot(&self, ended: Ended, state: &State) {
+        let schema = self.schema();
         let mut accounts = self.accounts.borrow_mut();
         let law_off = accounts.law_off(state);
-        accounts.set(self.schema.node().start, &self.source.counts());
-        accounts.set(self.schema.log_lines(), &[self.source.log_lines_left_out()]);
-        let mut gauges = vec![0.0; self.schema.gauges()];
-        for (gauge, open) in gauges.iter_mut().zip(&state.open) {
+        accounts.set(schema.node().start, &self.source.counts());
+        accounts.set(schema.log_lines(), &[self.source.log_lines_left_out()]);
+        let mut gauges = vec![0.0; schema.gauges()];
+        for (gauge, open) in gauges.iter_mut().zip(&accounts.open_by_series(state)) {
             *gauge = *open as f64;
         }
-        let (state_at, module, law_at) = self.schema.state();
+        let (state_at, module, law_at) = schema.state();
         let (memory_kb, descriptors) = self.source.process();
         let leaving = u64::from(self.leaving.get().is_some());
         let fleet = self.fleet.get();
@@ -270,9 +368,9 @@
         for (gauge, (_, value)) in gauges[module].iter_mut().zip(&state.module) {
             *gauge = *value;
         }
-        for (at, destination) in self.destinations.iter().enumerate() {
-            let figures = destination.borrow().as_ref().map_or(Figures::default(), |d| d.figures.get());
-            let (counts_at, gauges_at) = self.schema.delivery(at);
+        for at in 0..DESTINATIONS.len() {
+            let figures = self.figures(at);
+            let (counts_at, gauges_at) = schema.delivery(at);
             let counts: [u64; DELIVERY_COUNTS.len()] = [
                 figures.merged,
                 figures.dropped,
@@ -288,6 +386,7 @@
         }
         gauges[law_at] = law_off;
         let (totals, dists) = accounts.cut();
+        *self.last_totals.borrow_mut() = totals.clone();
         let Ended { slot_s, span_ms } = ended;
         let snapshot = Snapshot { slot_s, slots: 1, span_ms, totals, gauges: gauges.into(), dists };
         if law_off != 0.0 {
@@ -307,8 +406,8 @@
     /// After the core has ended: sends what is left and waits for it, until this time, ms, at the latest.
     pub async fn finish(&self, until_ms: f64) {
         let mut waits = Vec::new();
-        for destination in &self.destinations {
-            if let Some(destination) = destination.borrow().as_ref() {
+        for (destination, superseded) in self.destinations.iter().zip(&self.superseded) {
+            for destination in superseded.borrow().iter().chain(destination.borrow().as_ref()) {
                 let _ = destination.events.try_send(Event::Leave);
                 waits.push(destination.done.clone());
             }
@@ -324,8 +423,8 @@
             false
         };
         if !future::or(all, late).await {
-            for (destination, what) in self.destinations.iter().zip(DESTINATIONS) {
-                let left = destination.borrow().as_ref().map_or(0, |d| d.figures.get().backlog);
+            for (at, what) in DESTINATIONS.into_iter().enumerate() {
+                let left = self.figures(at).backlog;
                 if left > 0 {
                     tracing::warn!(to = what, intervals = left, "telemetry-lost-at-exit");
                 }
@@ -528,6 +627,8 @@
     links: HashMap<(u8, u64), (Sender<Command>, Task<()>)>,
     figures: Rc<Cell<Figures>>,
     done: Sender<()>,
+    /// Another delivery has taken its place.
+    superseded: Rc<Cell<bool>>,
 }
 
 impl Driver {
@@ -538,8 +639,8 @@
             let event = async { self.told.recv().await.ok().map(Ok) };
             let notification = async {
                 match &self.notifications {
-                    Some(notifications) => notifications.recv().await.ok().map(Err),
-                    None => future::pending().await,
+                    Some(notifications) if !self.superseded.get() => notifications.recv().await.ok().map(Err),
+                    _ => future::pending().await,
                 }
             };
             let timer = async {
--- a/crates/pinepoint-telemetry/src/schema.rs
+++ b/crates/pinepoint-telemetry/src/schema.rs
@@ -1,5 +1,5 @@
-//! The series that exist, each with a name and a place. It owns these and nothing else: which classes, counters and
-//! figures there are is told at the start and never changes, so that a snapshot is a row of numbers.
+//! The series that exist, each with a name and a place. It owns these and nothing else. A schema never changes, so that a
+//! snapshot is a row of numbers; where classes are added, a wider one takes its place.
 
 use std::borrow::Cow;
 
@@ -140,6 +140,8 @@
 #[derive(Clone, Debug)]
 pub struct Schema {
     classes: Vec<String>,
+    node: Vec<&'static str>,
+    module: Vec<&'static str>,
     counts: Vec<(Name, Sort)>,
     gauges: Vec<Name>,
     dists: Vec<Name>,
@@ -193,7 +195,20 @@
         gauges.push(named(Scope::Telemetry, "law_off"));
         gauges.push(named(Scope::Telemetry, "span_s"));
         let delivery_at = (delivery_counts_at, delivery_gauges_at);
-        Schema { classes: classes.to_vec(), counts, gauges, dists, node_at, module_at, delivery_at }
+        let (classes, node, module) = (classes.to_vec(), node.to_vec(), module.to_vec());
+        Schema { classes, node, module, counts, gauges, dists, node_at, module_at, delivery_at }
+    }
+
+    /// The same with other classes, of which the first are those of this schema.
+    pub fn with_classes(&self, classes: &[String]) -> Self {
+        Schema::new(classes, &self.node, &self.module)
+    }
+
+    /// Counts of a schema with fewer classes in their places of this one, which was made by [`Schema::with_classes`].
+    pub fn widen(&self, narrow: &Schema, totals: &[f64]) -> Vec<f64> {
+        let (of_classes, others) = totals.split_at(narrow.node_at);
+        let added = vec![0.0; self.node_at - narrow.node_at];
+        [of_classes, &added, others].concat()
     }
 
     /// Names of the classes.
--- a/src/bin/pinepoint/main.rs
+++ b/src/bin/pinepoint/main.rs
@@ -396,6 +396,7 @@
         deployment,
         peers: peers.clone(),
         room,
+        telemetry: telemetry.clone(),
         counters: counters.clone(),
         clock: clock.clone(),
         queue: queue.clone(),
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -6,11 +6,13 @@
 
 use async_channel::Sender;
 use pinepoint_clock::Clock;
+use pinepoint_telemetry::Telemetry;
 
 use super::counters::{Counters, count};
 use super::links::Peers;
 use super::listen::Room;
 use super::port::{Input, NewSettings};
+use super::telemetry;
 use crate::configuration::Config;
 use crate::deployment::Deployment;
 
@@ -26,6 +28,8 @@
     pub peers: Rc<Peers>,
     /// Room for connections.
     pub room: Rc<Room>,
+    /// What counts by class, if it is on.
+    pub telemetry: Option<Rc<Telemetry>>,
     /// Counters.
     pub counters: Rc<Counters>,
     /// The clock.
@@ -56,7 +60,10 @@
         }
         let Config { engine, store, members, memory_mb, stop_ms, .. } = config;
         let settings = NewSettings { site: config.site.clone(), stop_ms, memory_mb };
-        // The core first: a request of a new class, read once the fronts know it, comes behind this in the queue.
+        // Telemetry before any fact about a new class, and the core before the fronts: a request of a new class, read once the fronts know it, comes behind this in the queue.
+        if let Some(telemetry) = &self.telemetry {
+            telemetry::set_classes(telemetry, &config.site);
+        }
         let _ = self.queue.send(Input::Settings(settings)).await;
         self.deployment.replace(config.site.clone());
         self.room.set_memory(memory_mb);
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -62,23 +62,34 @@
     pub counters: Rc<Counters>,
 }
 
-/// Begins to count and to send what the setup says.
-pub fn start(setup: &Setup, host: Host) -> Rc<Telemetry> {
-    let Host { name, site, seed, clock, executor, queue, counters } = host;
-    let names: Vec<String> =
-        (0..site.settings.classes.len()).map(|class| site.class_name(class).to_owned()).collect();
-    let node: Vec<&'static str> = counters.list().into_iter().map(|(name, _)| name).collect();
-    let module = View::NAMES;
-    let class = |class: &crate::Class| Class {
+/// Tells telemetry of the classes in force, before anything happens to a request of a new one.
+pub fn set_classes(telemetry: &Telemetry, site: &Site) {
+    let (names, classes) = classes_of(site);
+    telemetry.set_classes(&names, classes, site.settings.worth_by_work);
+}
+
+/// Name and terms of each class, by index.
+fn classes_of(site: &Site) -> (Vec<String>, Vec<Class>) {
+    let terms = |class: &crate::Class| Class {
         aim_ms: class.aim_ms,
         aim_stretch: class.aim_stretch,
         worth: class.worth,
         late_worth: class.late_worth,
         worth_without: class.worth_without,
     };
+    let classes = site.settings.classes.iter();
+    classes.enumerate().map(|(at, class)| (site.class_name(at).to_owned(), terms(class))).unzip()
+}
+
+/// Begins to count and to send what the setup says.
+pub fn start(setup: &Setup, host: Host) -> Rc<Telemetry> {
+    let Host { name, site, seed, clock, executor, queue, counters } = host;
+    let (names, classes) = classes_of(&site);
+    let node: Vec<&'static str> = counters.list().into_iter().map(|(name, _)| name).collect();
+    let module = View::NAMES;
     let parts = Parts {
         schema: Rc::new(Schema::new(&names, &node, &module)),
-        classes: site.settings.classes.iter().map(class).collect(),
+        classes,
         by_work: site.settings.worth_by_work,
         host: name,
         clock,
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -366,3 +366,64 @@
     leave(&mut world);
     load.check(&graphite.points(), plain);
 }
+
+/// The classes change: `brief` goes, `extra` comes.
+fn change_classes(world: &mut World) {
+    let brief = r#" {"name":"brief","effect":"read_like","promiseMs":900,"deadlineMs":1500,"worth":1},"#;
+    let extra = brief.replace("brief", "extra");
+    let first = world.config("first").to_owned();
+    assert!(first.contains(brief));
+    world.write_config(&first.replace(brief, &extra));
+    world.run("node send HUP\nnode wait reloaded *");
+}
+
+/// One read of the class that a reload added.
+fn round_of_extra(load: &mut Load, world: &mut World) {
+    load.sent += 1;
+    let n = load.sent;
+    world.run(&format!("rpc{n} send 1 extra rid={n}1|paper\nrpc{n} expect [1 1 nil *"));
+    load.end("class.extra.read", 1);
+    load.end("class.extra.served_in_aim", 1);
+    load.end("class.extra.run_end.complete", 1);
+    load.end("class.extra.total.count", 1);
+}
+
+#[test]
+fn a_class_that_a_reload_adds_has_series_of_its_own_and_the_others_go_on() {
+    let graphite = Graphite::start(Form::Plaintext).expect("it listens");
+    let mut world = start(&format!("[graphite]\naddress = \"{}\"\nreceipt_s = 1\n", graphite.address()));
+    let mut load = Load::new();
+    load.round(&mut world);
+    wait_for("the first interval", || graphite.points().sum(&plain("class.look.read")) >= 5.0);
+    // In the middle of an interval, and with one that the receiver does not take in time.
+    graphite.stop();
+    load.round(&mut world);
+    world.run("node wait receiver-lost to=graphite *");
+    change_classes(&mut world);
+    round_of_extra(&mut load, &mut world);
+    load.round(&mut world);
+    graphite.start_again().expect("it listens");
+    wait_for("it has caught up", || graphite.points().sum(&plain("class.look.read")) >= 15.0);
+    wait_for("the new class is told", || graphite.points().sum(&plain("class.extra.read")) >= 1.0);
+    world.run("node send USR1\nnode wait counters * reloads=1 *");
+    leave(&mut world);
+    let points = graphite.points();
+    load.check(&points, plain);
+    assert_eq!(points.sum(&plain("node.reloads")), 1.0);
+    let sent = &points.values[&plain("telemetry.graphite.points_sent")];
+    assert!(sent.values().all(|sent| *sent >= 0.0), "counts of the delivery go on: {sent:?}");
+}
+
+#[test]
+fn over_collectd_too_the_series_of_all_classes_go_on_over_a_reload() {
+    let collectd = Collectd::network(Wanted::Nothing, 7).expect("it listens");
+    let mut world = start(&collectd_edge(&collectd, ""));
+    let mut load = Load::new();
+    load.round(&mut world);
+    wait_for("the first interval", || collectd.taken().last("n1/pinepoint-look/derive-read") == Some(5.0));
+    change_classes(&mut world);
+    round_of_extra(&mut load, &mut world);
+    load.round(&mut world);
+    leave(&mut world);
+    check_collectd(&load, &collectd.taken());
+}
