--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! - [`links`] are the connections to engine, store and membership service.
 //! - [`management`] is the operators' port: [`counters`] and the drain.
 //! - [`handover`] is the way to another process of this server, during an upgrade.
+//! - [`reload`] puts a configuration that was read again in force.
 //! - [`fleet`] tells others what this comparer is and does.
 //! - [`telemetry`] is what counts are brought out by, beside the [`counters`]; [`status`] is what the core publishes.
 
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -391,6 +391,7 @@
 /// A core that serves, with the settings it started with.
 fn serving(site: &Site) -> Bench {
     let mut bench = Bench::with_site(site.clone(), 1.0, 2000.0);
+    bench.seen.keeps_classes.set(true);
     bench.tell(Input::EngineUp { cold: false, ms: 9000.0 });
     bench
 }
@@ -481,7 +482,10 @@
         bench.seen.answers.borrow().get(&(1, 2)).cloned(),
     );
     assert_eq!(of_first, None, "it waits for its own time");
-    assert!(matches!(of_second.as_deref(), Some([Reply::Failed { late: true, .. }])), "{of_second:?}");
+    assert!(
+        matches!(of_second.as_deref(), Some([Reply::Failed { late: true, why: Failure::Late }])),
+        "{of_second:?}"
+    );
     bench.pass(2400.0, 0.5);
     assert!(matches!(answers(&bench).first(), Some(Reply::Failed { late: true, .. })));
 }
@@ -490,6 +494,7 @@
 fn settings_that_come_before_the_engine_are_those_it_begins_with() {
     let first = site(&[("look", READ)]);
     let mut bench = Bench::with_site(first.clone(), 1.0, 2000.0);
+    bench.seen.keeps_classes.set(true);
     let more = first.merged_with(site(&[("look", READ), ("more", READ)]), bench.now).expect("taken");
     bench.reload(Rc::new(more), 1.0, 2000.0);
     bench.tell(Input::EngineUp { cold: false, ms: 9000.0 });
@@ -665,7 +670,11 @@
         bench.pass(5000.0, 0.2);
         bench.tell(Input::Look);
         prop_assert_eq!(bench.seen.state.borrow().open.iter().sum::<u64>(), 0);
-        prop_assert!(bench.seen.answers.borrow().values().all(|replies| replies.len() == 1));
+        let answers = bench.seen.answers.borrow();
+        prop_assert!(answers.values().all(|replies| replies.len() == 1));
+        // The module knows of each class: it gave the answers that were due, and the core none in its place.
+        let is_overdue = |reply: &Reply| matches!(reply, Reply::Failed { why: Failure::Overdue, .. });
+        prop_assert!(!answers.values().flatten().any(is_overdue), "{:?}", answers);
     }
 }
 
