Hold the module to its own answers over reloads in the tests

A trial that kept new settings from the module passed all reload tests: the core's overdue answers stood in. The tests now ask for the module's reason, and fail in that trial.

--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -483,7 +483,10 @@
         bench.seen.answers.borrow().get(&(1, 2)).cloned(),
     );
     assert_eq!(of_first, None, "it waits for its own time");
-    assert!(matches!(of_second.as_deref(), Some([Reply::Failed { late: true, .. }])), "{of_second:?}");
+    assert!(
+        matches!(of_second.as_deref(), Some([Reply::Failed { late: true, why: Failure::Late }])),
+        "{of_second:?}"
+    );
     bench.pass(2400.0, 0.5);
     assert!(matches!(answers(&bench).first(), Some(Reply::Failed { late: true, .. })));
 }
@@ -668,7 +671,11 @@
         bench.pass(5000.0, 0.2);
         bench.tell(Input::Look);
         prop_assert_eq!(bench.seen.state.borrow().open.iter().sum::<u64>(), 0);
-        prop_assert!(bench.seen.answers.borrow().values().all(|replies| replies.len() == 1));
+        let answers = bench.seen.answers.borrow();
+        prop_assert!(answers.values().all(|replies| replies.len() == 1));
+        // The module knows of each class: it gave the answers that were due, and the core none in its place.
+        let is_overdue = |reply: &Reply| matches!(reply, Reply::Failed { why: Failure::Overdue, .. });
+        prop_assert!(!answers.values().flatten().any(is_overdue), "{:?}", answers);
     }
 }
 
