--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -294,8 +294,8 @@
         if let Some(controller) = &mut self.controller
             && let Err(error) = controller.reconfigure(site.settings.clone())
         {
+            // The tables go on with the new indexes all the same: requests under them are already on their way.
             tracing::error!(%error, "settings-unusable");
-            return;
         }
         let (old, settings) = (&self.parts.site.settings, &site.settings);
         // What the module said before meant something else; it says it anew.
