Know the tries of a keyed request by their token, whatever class they come under

Ruled out: a restart or a lost engine link (none in the logs), a result that was given up (the table refuses a second start whatever the module says), a run that the engine did not begin (no refusal logged). Lines at fault: core.rs, admit(): the key was (class, token), so that a try under the new class was another request. Change: all keyed classes share one space of tokens; a handover names no class, and a class that the other process does not know is no case any more.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -17,7 +17,7 @@
 use self::handover::Handover;
 pub use self::handover::HandoverParts;
 use super::counters::{Counters, count};
-use super::keys::{Joined, Key, Keys, Start, TryResult};
+use super::keys::{Joined, KEYED, Key, Keys, Start, TryResult};
 use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
 use super::port::{Arrival, Caller, Doors, Engine, Input, NewSettings, Reply, RunEnd, Store};
 use super::requests::{Feed, Open, Phase, Requests};
@@ -346,12 +346,13 @@
     /// let this one run its key.
     fn admit(&mut self, now: f64, arrival: Arrival, claimed: bool) {
         let class = &self.parts.site.settings.classes[arrival.class];
-        let name = match class.effect {
-            Effect::Keyed => arrival.token.clone(),
-            Effect::Read if self.parts.site.settings.fresh_ms > 0.0 => arrival.subject.clone(),
+        let key = match class.effect {
+            Effect::Keyed => arrival.token.clone().map(|token| (KEYED, token)),
+            Effect::Read if self.parts.site.settings.fresh_ms > 0.0 => {
+                arrival.subject.clone().map(|subject| (arrival.class, subject))
+            }
             _ => None,
         };
-        let key = name.map(|name| (arrival.class, name));
         let effect = class.effect;
         let due_ms = arrival.t0 + class.deadline_ms;
         // All that was read before has its answer, and the process ends in a moment.
--- a/src/node/core/handover.rs
+++ b/src/node/core/handover.rs
@@ -12,9 +12,9 @@
 use pinepoint_handover::successor::{self, Successor};
 
 use super::{Core, EngineStart, Key, Life, UNREAD_MORE_MS, UNREAD_MOST};
-use crate::node::keys::{Record, TryResult};
+use crate::Outcome;
+use crate::node::keys::{KEYED, Record, TryResult};
 use crate::node::port::{Arrival, HandoverPort, PeerInbox, PeerInput, Reply};
-use crate::{Effect, Outcome};
 
 /// What a handover takes.
 pub struct HandoverParts {
@@ -301,7 +301,7 @@
         touched.sort_unstable();
         touched.dedup();
         for key in touched {
-            if !self.is_keyed(&key) {
+            if !is_keyed(&key) {
                 continue;
             }
             let record = self.key_record(&key);
@@ -309,19 +309,14 @@
         }
     }
 
-    fn is_keyed(&self, key: &Key) -> bool {
-        self.parts.site.settings.classes[key.0].effect == Effect::Keyed
-    }
-
     /// All keys of this process.
     fn key_records(&self) -> Vec<KeyRecord> {
-        let keys = self.keys.all().filter(|key| self.is_keyed(key));
+        let keys = self.keys.all().filter(|key| is_keyed(key));
         keys.map(|key| self.key_record(key)).collect()
     }
 
     fn key_record(&self, key: &Key) -> KeyRecord {
-        let (class, token) = (self.parts.site.class_name(key.0).to_owned(), key.1.clone());
-        let key_name = SharedKey { class, token };
+        let key_name = shared_key(key);
         let Some(Record { id, digest, until, ran, result }) = self.keys.record(key) else {
             return KeyRecord { key: key_name, digest: 0, until_ms: 0.0, state: KeyState::Released };
         };
@@ -338,15 +333,9 @@
 
     // ---- keys that the other process tells of ----
 
-    /// The key by the names of this process; none for a class that it does not know.
-    fn local_key(&self, key: &SharedKey) -> Option<Key> {
-        let class = *self.parts.site.class_names.get(&key.class)?;
-        Some((class, key.token.clone())).filter(|key| self.is_keyed(key))
-    }
-
     /// Enters what the other process tells of a key. What this process knows itself stays as it is.
     fn import(&mut self, now: f64, record: KeyRecord) {
-        let Some(key) = self.local_key(&record.key) else { return };
+        let key = local_key(record.key);
         let known = self.keys.remote_try(&key);
         if known.is_none() && (record.state == KeyState::Released || self.keys.is_known(&key, now)) {
             return;
@@ -384,7 +373,7 @@
     pub(super) fn claim(&mut self, now: f64, key: Key, digest: u64, arrival: Arrival) {
         let class = &self.parts.site.settings.classes[arrival.class];
         let until_ms = arrival.t0 + class.key_window_ms.max(class.deadline_ms) + 1.0;
-        let shared = SharedKey { class: self.parts.site.class_name(key.0).to_owned(), token: key.1.clone() };
+        let shared = shared_key(&key);
         let Some(handover) = &mut self.handover else { return };
         if let Some(claim) = handover.claims.values_mut().find(|claim| claim.key == key) {
             claim.arrivals.push(arrival);
@@ -434,8 +423,9 @@
 
     /// Whether the predecessor may run this key: nothing of it is known here, and nothing can be unknown.
     fn decide_claim(&mut self, now: f64, claim: Claim) {
-        let granted = self.local_key(&claim.key).is_some_and(|key| self.may_grant(now, &key));
-        if let (true, Some(key)) = (granted, self.local_key(&claim.key)) {
+        let key = local_key(claim.key);
+        let granted = self.may_grant(now, &key);
+        if granted {
             let id = self.requests.number();
             self.keys.enter_remote(&key, id, claim.digest, claim.until_ms);
             self.touch(&key);
@@ -448,9 +438,22 @@
             self.settle(now);
         }
         // The claim does not say when its request reached the machine: it may have lain unread for so long.
-        let class = &self.parts.site.settings.classes[key.0];
-        let unread_most_ms = class.deadline_ms * UNREAD_MOST + UNREAD_MORE_MS;
+        let deadlines = self.parts.site.settings.classes.iter().map(|class| class.deadline_ms);
+        let unread_most_ms = deadlines.fold(0.0, f64::max) * UNREAD_MOST + UNREAD_MORE_MS;
         let waits = self.handover.iter().flat_map(|h| h.claims.values()).any(|claim| claim.key == *key);
         !waits && !self.keys.is_known(key, now - unread_most_ms) && self.unknown_key(now) == UnknownKey::Run
     }
 }
+
+fn is_keyed(key: &Key) -> bool {
+    key.0 == KEYED
+}
+
+/// The key as the other process knows it. Tokens count in all keyed classes, so none is named.
+fn shared_key(key: &Key) -> SharedKey {
+    SharedKey { class: String::new(), token: key.1.clone() }
+}
+
+fn local_key(key: SharedKey) -> Key {
+    (KEYED, key.token)
+}
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -25,8 +25,8 @@
             pub fn list(&self) -> Vec<(&'static str, u64)> {
                 let all = self.all_classes();
                 vec![
-                    $((stringify!($class), all.$class.get()),)+
                     $((stringify!($node), self.$node.get()),)+
+                    $((stringify!($class), all.$class.get()),)+
                 ]
             }
 
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -13,9 +13,14 @@
 /// caller waits.
 const AFTERLIFE_MS: f64 = 15_000.0;
 
-/// A class and a name in it: the token of a keyed request, or the subject of a read.
+/// A name by which requests are known, and the class in which it counts: the subject of a read counts in its class, the token of
+/// a keyed request in all keyed classes, which stand under [`KEYED`].
 pub type Key = (usize, String);
 
+/// Stands for all keyed classes. Tries of one request may come under different ones: a reload that adds a class moves callers to
+/// it between two tries.
+pub const KEYED: usize = usize::MAX;
+
 /// What is known of the try of a key that ran.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TryResult {
