Measure CPU time for each request against an earlier build, in turns under one load

Cause: what the management port, handover and reload cost an ordinary request was not measured. `pinepoint-lab operation-cpu` runs an earlier build, this one, and this one with a management address and INFO each second side by side, loads them in turns with the same requests, and tells CPU time for each answered request and its ratio. `operation` tells p50 beside p99 of the management port, and the cores of the machine.

--- a/crates/pinepoint-lab/src/main.rs
+++ b/crates/pinepoint-lab/src/main.rs
@@ -82,6 +82,24 @@
         #[arg(long, default_value_t = 8)]
         clients: usize,
     },
+    /// CPU time for each request against an earlier build, in turns under the same load; prints JSON, one line each
+    OperationCpu {
+        /// The earlier program
+        #[arg(long)]
+        before: PathBuf,
+        /// The program
+        #[arg(long, default_value = "target/release/pinepoint")]
+        program: PathBuf,
+        /// Length of the load of one turn, s
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        /// Turns
+        #[arg(long, default_value_t = 7)]
+        turns: u64,
+        /// Requests a second
+        #[arg(long, default_value_t = 1200.0)]
+        rate: f64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -112,6 +130,12 @@
             let mut tell = |line: &serde_json::Value| println!("{line}");
             ended(operation::measure(&options, &mut tell).map(|summary| println!("{summary}")))
         }
+        Command::OperationCpu { before, program, seconds, turns, rate } => {
+            let length = Duration::from_secs(seconds);
+            let options = operation::cost::Options { before, program, length, turns, rate };
+            let mut tell = |line: &serde_json::Value| println!("{line}");
+            ended(operation::cost::measure(&options, &mut tell).map(|summary| println!("{summary}")))
+        }
     }
 }
 
--- a/crates/pinepoint-lab/src/operation.rs
+++ b/crates/pinepoint-lab/src/operation.rs
@@ -2,6 +2,7 @@
 //! the measurement of upgrades under load. Loopback only.
 
 pub mod client;
+pub mod cost;
 pub mod deployment;
 pub mod engine;
 pub mod load;
@@ -144,8 +145,13 @@
     let mut total = Tally::default();
     upgrades.iter().for_each(|upgrade| total += upgrade.tally);
     let exit = upgrades.iter().filter_map(|upgrade| upgrade.exit).max();
-    let p99 = |times: &[Histogram<u64>], at: usize| times[at].value_at_quantile(0.99) as f64 / 1000.0;
+    let answers = |times: &[Histogram<u64>], at: usize| {
+        let ms = |quantile: f64| times[at].value_at_quantile(quantile) as f64 / 1000.0;
+        json!({"p50": ms(0.5), "p99": ms(0.99)})
+    };
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
     json!({
+        "cores": cores,
         "upgrades": upgrades.len(),
         "requests": total.sent,
         "failed": total.failed,
@@ -155,7 +161,7 @@
         "reports_out": out_reports,
         "ready_ms": {"p50": quantile(0.5), "p90": quantile(0.9), "max": ready.last()},
         "exit_ms_max": exit.map(|exit| exit.as_millis() as u64),
-        "ping_p99_ms": {"idle": p99(idle, 0), "full_load": p99(loaded, 0)},
-        "info_p99_ms": {"idle": p99(idle, 1), "full_load": p99(loaded, 1)},
+        "ping_ms": {"idle": answers(idle, 0), "full_load": answers(loaded, 0)},
+        "info_ms": {"idle": answers(idle, 1), "full_load": answers(loaded, 1)},
     })
 }
--- a/crates/pinepoint-lab/src/operation/deployment.rs
+++ b/crates/pinepoint-lab/src/operation/deployment.rs
@@ -179,6 +179,11 @@
 }
 
 impl Process {
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks its management port.
     pub fn ask(&self, command: &str) -> io::Result<Answer> {
         management::ask(self.management, command)
