--- a/crates/pinepoint-lab/src/operation.rs
+++ b/crates/pinepoint-lab/src/operation.rs
@@ -28,6 +28,8 @@
 const SETTLE: Duration = Duration::from_millis(300);
 /// Requests to the management port of each kind, idle and at full load.
 const ASKS: usize = 300;
+/// Pause before each of these, so that they meet the load at many moments.
+const ASK_PAUSE: Duration = Duration::from_millis(5);
 /// Commands whose answer time is measured.
 const COMMANDS: [&str; 2] = ["PING", "INFO"];
 
@@ -77,8 +79,9 @@
     current.await_ready(READY_LIMIT)?;
     let idle = answer_times(&current)?;
     let full_load = Load::start(plan(&deployment, options.clients, Duration::ZERO));
+    std::thread::sleep(SETTLE);
     let loaded = answer_times(&current)?;
-    full_load.stop()?;
+    let full_load = full_load.stop()?;
 
     let since = Instant::now();
     let mut upgrades = Vec::new();
@@ -89,7 +92,10 @@
         upgrades.push(upgrade);
     }
     let out_reports = deployment.list.reports_since(since).iter().filter(|report| !report.up).count();
-    Ok(summary(&upgrades, out_reports, &idle, &loaded))
+    let mut summary = summary(&upgrades, out_reports, &idle, &loaded);
+    summary["full_load"] =
+        json!({"sent": full_load.sent, "served": full_load.served, "busy": full_load.busy});
+    Ok(summary)
 }
 
 fn start(deployment: &Deployment) -> io::Result<Process> {
@@ -122,6 +128,7 @@
     let times = |command: &&str| {
         let mut times = Histogram::new(3).map_err(io::Error::other)?;
         for _ in 0..ASKS {
+            std::thread::sleep(ASK_PAUSE);
             let answer = process.ask(command)?;
             if !answer.is_ok() {
                 return Err(io::Error::other(format!("{command}: {}", answer.head())));
