--- a/crates/pinepoint-lab/src/operation.rs
+++ b/crates/pinepoint-lab/src/operation.rs
@@ -2,6 +2,7 @@
 //! the measurement of upgrades under load. Loopback only.
 
 pub mod client;
+pub mod cost;
 pub mod deployment;
 pub mod engine;
 pub mod load;
@@ -27,6 +28,8 @@
 const SETTLE: Duration = Duration::from_millis(300);
 /// Requests to the management port of each kind, idle and at full load.
 const ASKS: usize = 300;
+/// Pause before each of these, so that they meet the load at many moments.
+const ASK_PAUSE: Duration = Duration::from_millis(5);
 /// Commands whose answer time is measured.
 const COMMANDS: [&str; 2] = ["PING", "INFO"];
 
@@ -76,8 +79,9 @@
     current.await_ready(READY_LIMIT)?;
     let idle = answer_times(&current)?;
     let full_load = Load::start(plan(&deployment, options.clients, Duration::ZERO));
+    std::thread::sleep(SETTLE);
     let loaded = answer_times(&current)?;
-    full_load.stop()?;
+    let full_load = full_load.stop()?;
 
     let since = Instant::now();
     let mut upgrades = Vec::new();
@@ -88,7 +92,10 @@
         upgrades.push(upgrade);
     }
     let out_reports = deployment.list.reports_since(since).iter().filter(|report| !report.up).count();
-    Ok(summary(&upgrades, out_reports, &idle, &loaded))
+    let mut summary = summary(&upgrades, out_reports, &idle, &loaded);
+    summary["full_load"] =
+        json!({"sent": full_load.sent, "served": full_load.served, "busy": full_load.busy});
+    Ok(summary)
 }
 
 fn start(deployment: &Deployment) -> io::Result<Process> {
@@ -121,6 +128,7 @@
     let times = |command: &&str| {
         let mut times = Histogram::new(3).map_err(io::Error::other)?;
         for _ in 0..ASKS {
+            std::thread::sleep(ASK_PAUSE);
             let answer = process.ask(command)?;
             if !answer.is_ok() {
                 return Err(io::Error::other(format!("{command}: {}", answer.head())));
@@ -144,8 +152,13 @@
     let mut total = Tally::default();
     upgrades.iter().for_each(|upgrade| total += upgrade.tally);
     let exit = upgrades.iter().filter_map(|upgrade| upgrade.exit).max();
-    let p99 = |times: &[Histogram<u64>], at: usize| times[at].value_at_quantile(0.99) as f64 / 1000.0;
+    let answers = |times: &[Histogram<u64>], at: usize| {
+        let ms = |quantile: f64| times[at].value_at_quantile(quantile) as f64 / 1000.0;
+        json!({"p50": ms(0.5), "p99": ms(0.99)})
+    };
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
     json!({
+        "cores": cores,
         "upgrades": upgrades.len(),
         "requests": total.sent,
         "failed": total.failed,
@@ -155,7 +168,7 @@
         "reports_out": out_reports,
         "ready_ms": {"p50": quantile(0.5), "p90": quantile(0.9), "max": ready.last()},
         "exit_ms_max": exit.map(|exit| exit.as_millis() as u64),
-        "ping_p99_ms": {"idle": p99(idle, 0), "full_load": p99(loaded, 0)},
-        "info_p99_ms": {"idle": p99(idle, 1), "full_load": p99(loaded, 1)},
+        "ping_ms": {"idle": answers(idle, 0), "full_load": answers(loaded, 0)},
+        "info_ms": {"idle": answers(idle, 1), "full_load": answers(loaded, 1)},
     })
 }
