Untie connections and listeners: room, shared context and connection state apart

connection.rs and listen.rs imported each other. The room for connections is now room.rs, what the connections of all fronts share is front.rs, and what is known of one connection is connection_state.rs; connection.rs no longer imports listen.rs. No behaviour changes.

--- /dev/null
+++ b/src/node/front.rs
@@ -0,0 +1,38 @@
+//! What the connections of all fronts share. It must never know a wire or touch a request.
+
+use std::rc::Rc;
+
+use async_channel::Sender;
+use pinepoint_clock::Clock;
+use pinepoint_facts::Observer;
+
+use super::counters::Counters;
+use super::port::Input;
+use super::room::Room;
+use super::status::Status;
+use crate::deployment::Deployment;
+
+/// What every connection of every front needs.
+pub struct Front {
+    /// Settings and names.
+    pub deployment: Rc<Deployment>,
+    /// What the core publishes.
+    pub status: Rc<Status>,
+    /// Counters.
+    pub counters: Rc<Counters>,
+    /// Who is told of limits that are reached.
+    pub observer: Rc<dyn Observer>,
+    /// The clock.
+    pub clock: Clock,
+    /// The way to the core.
+    pub queue: Sender<Input>,
+    /// Room for connections.
+    pub room: Rc<Room>,
+}
+
+impl Front {
+    /// Time after which callers close idle connections, ms. Not told, it is left to them and to the want of room.
+    pub fn idle_ms(&self) -> f64 {
+        Some(self.deployment.site().settings.idle_ms).filter(|ms| *ms > 0.0).unwrap_or(f64::INFINITY)
+    }
+}
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -13,8 +13,8 @@
 use pinepoint_handover::message::Message;
 use pinepoint_handover::successor::RECONNECT_MS;
 
-use super::listen::Room;
 use super::port::{HandoverPort, PeerInbox, PeerInput};
+use super::room::Room;
 use super::status::Status;
 use super::sync::Signal;
 
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -10,8 +10,8 @@
 
 use super::counters::{Counters, count};
 use super::links::Peers;
-use super::listen::Room;
 use super::port::{Input, NewSettings};
+use super::room::Room;
 use super::telemetry;
 use crate::configuration::Config;
 use crate::deployment::Deployment;
--- a/src/node/rpc.rs
+++ b/src/node/rpc.rs
@@ -9,9 +9,10 @@
 use async_io::Async;
 use futures_lite::future;
 
-use super::connection::{self, Guest, Intake, MESSAGE_MS, Stop, Writer};
+use super::connection::{self, Intake, Stop, Writer};
+use super::connection_state::{Guest, MESSAGE_MS};
 use super::counters::count;
-use super::listen::Front;
+use super::front::Front;
 use super::port::{Arrival, Caller, Input, Reply};
 use crate::Effect;
 use crate::settings::Site;
