End a process whose connections fill it while its listeners close, and drain with the answer

Ruled out: the handover (no successor), a long drain (n0 left in order). The new test (a flood of silent connections during a drain) fails on the code before, by the kill, and passes now.

--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -96,9 +96,10 @@
                 front.room.freed().await;
                 false
             };
+            // Whoever waits in the backlog then still has a turn, a moment later.
             let shut = async {
                 shut.await;
-                false
+                true
             };
             if future::or(knocks, future::or(freed, shut)).await {
                 if front.room.is_full() {
--- a/src/node/management.rs
+++ b/src/node/management.rs
@@ -148,6 +148,10 @@
 
     fn ask_drain(&self, drained: bool) -> String {
         self.status.drain.set(Some(drained));
+        if drained {
+            // In force with the answer: a health check may be read before the core has its turn.
+            self.status.healthy.set(false);
+        }
         self.status.notice.wake();
         "+OK\n".to_owned()
     }
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -466,3 +466,24 @@
     assert_eq!(sum_of_classes(&process, "busy"), tally.busy, "{tally:?}");
     assert_eq!(sum_of_classes(&process, "failure"), tally.failed, "{tally:?}");
 }
+
+/// Connections that say nothing fill the process again and again while it drains: it must neither turn in circles nor stay.
+#[test]
+fn a_process_that_is_full_while_its_listener_closes_ends_in_order() {
+    let deployment = deployment_of(Setup { sockets: 64, ..setup() });
+    let mut process = start_ready(&deployment, quick_engine());
+    let listen = deployment.listen;
+    let flood = std::thread::spawn(move || {
+        let mut open = Vec::new();
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            // Refused: the listener is closed, and the flood is over.
+            let Ok(stream) = TcpStream::connect(listen) else { return };
+            open.push(stream);
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    leave(&deployment, &mut process);
+    flood.join().expect("the flood ends");
+}
