Run two real cores against each other in a handover, and keep keys of unknown classes

Also: keys of a name whose effect kind changed are looked up under the index that is keyed; a request that waits for a claim is dropped and counted when its caller aborts or closes, failed on a spoilt connection, and answered by its due time; the longest window grows with a reload.

--- a/crates/pinepoint-handover/src/successor.rs
+++ b/crates/pinepoint-handover/src/successor.rs
@@ -151,6 +151,12 @@
         self.is_serving
     }
 
+    /// The longest deduplication window of all classes is so long now, ms. It does not become shorter: keys that were kept
+    /// before stay for their windows.
+    pub fn set_longest_window(&mut self, window_ms: f64) {
+        self.rules.longest_window_ms = self.rules.longest_window_ms.max(window_ms);
+    }
+
     /// What may be done with a key that this process does not know.
     pub fn unknown_key(&self, now_ms: f64) -> UnknownKey {
         if now_ms < self.keys_unknown_until_ms { UnknownKey::Fail } else { UnknownKey::Run }
--- a/src/bin/pinepoint/upgrade.rs
+++ b/src/bin/pinepoint/upgrade.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use pinepoint::node::core::HandoverParts;
+use pinepoint::node::core::{HandoverParts, longest_window_ms};
 use pinepoint::node::handover::{Host, Links};
 use pinepoint::node::listen::bind_shared;
 use pinepoint::node::port::{PeerInbox, PeerInput};
@@ -20,8 +20,6 @@
 
 /// The directory that all processes of a server share.
 const SHARED_DIRECTORY: &str = "TMPDIR";
-/// Added to the longest window in which keys may be unknown, ms.
-const WINDOW_MARGIN_MS: f64 = 1000.0;
 
 /// What was found of a predecessor, and the listening sockets that were opened.
 pub struct Upgrade {
@@ -100,8 +98,7 @@
 }
 
 fn rules(site: &Site) -> Rules {
-    let windows = site.settings.classes.iter().map(|class| class.key_window_ms.max(class.deadline_ms));
-    Rules { longest_window_ms: windows.fold(0.0, f64::max) + WINDOW_MARGIN_MS, ..Rules::default() }
+    Rules { longest_window_ms: longest_window_ms(site), ..Rules::default() }
 }
 
 /// The listening socket of this name, in a process that may be part of an upgrade or not.
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -15,7 +15,7 @@
 mod handover;
 
 use self::handover::Handover;
-pub use self::handover::HandoverParts;
+pub use self::handover::{HandoverParts, HandoverState, longest_window_ms};
 use super::counters::{Counters, count};
 use super::keys::{Joined, Key, Keys, Start, TryResult};
 use super::lifecycle::{Left, Lifecycle, Phase as Life, Times};
@@ -257,17 +257,21 @@
                 for id in self.requests.owed_to(caller) {
                     self.gone(now, id);
                 }
+                self.claimants_gone(now, caller, None);
             }
             Input::Request(arrival) => self.arrived(now, *arrival),
             Input::Gone(caller, ticket) => {
                 if let Some(id) = self.requests.by_ticket(caller, ticket) {
                     self.gone(now, id);
+                } else {
+                    self.claimants_gone(now, caller, Some(ticket));
                 }
             }
             Input::Spoilt(caller) => {
                 for id in self.requests.owed_to(caller) {
                     self.give_up(now, id, Reply::Failed { late: false, why: Failure::SpoiltConnection });
                 }
+                self.claimants_spoilt(now, caller);
             }
             Input::EngineUp { cold, ms } => self.engine_up(now, cold, ms),
             Input::EngineDown => {
@@ -310,12 +314,12 @@
             }
             Input::CallEnded(call, outcome, reply) => self.call_ended(now, call, outcome, reply),
             Input::Look => self.parts.observer.state(now, &self.state()),
-            Input::Settings(new) => self.reconfigure(new),
+            Input::Settings(new) => self.reconfigure(now, new),
         }
     }
 
     /// Puts other settings in force. What is open keeps its class and its due time.
-    fn reconfigure(&mut self, new: NewSettings) {
+    fn reconfigure(&mut self, now: f64, new: NewSettings) {
         let NewSettings { site, stop_ms, memory_mb } = new;
         if let Some(controller) = &mut self.controller
             && let Err(error) = controller.reconfigure(site.settings.clone())
@@ -334,6 +338,7 @@
         self.life.reconfigure(times(&site, stop_ms), site.listed_by_health);
         self.keys.set_results_most(results_most(memory_mb));
         (self.parts.site, self.parts.stop_ms, self.parts.memory_mb) = (site, stop_ms, memory_mb);
+        self.reconfigure_handover(now);
         self.publish();
     }
 
--- a/src/node/core/handover.rs
+++ b/src/node/core/handover.rs
@@ -5,17 +5,31 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use pinepoint_facts::{Failure, Turn};
+use pinepoint_facts::{Failure, Kind, Turn};
 use pinepoint_handover::message::{Claim, Key as SharedKey, KeyRecord, KeyState};
 use pinepoint_handover::ownership::{Denial, Rules, UnknownKey};
 use pinepoint_handover::predecessor::{self, Predecessor};
 use pinepoint_handover::successor::{self, Successor};
 
-use super::{Core, EngineStart, Key, Life, UNREAD_MORE_MS, UNREAD_MOST};
+mod unknown_classes;
+
+use self::unknown_classes::UnknownClasses;
+use super::{Core, EngineStart, Key, Life, OVERDUE_PART, UNREAD_MORE_MS, UNREAD_MOST};
+use crate::node::counters::count;
 use crate::node::keys::{Record, TryResult};
 use crate::node::port::{Arrival, HandoverPort, PeerInbox, PeerInput, Reply};
+use crate::settings::Site;
 use crate::{Effect, Outcome};
 
+/// Added to the longest window in which keys may be unknown, ms.
+const WINDOW_MARGIN_MS: f64 = 1000.0;
+
+/// The longest time for which a key of these classes may be kept, with a margin, ms.
+pub fn longest_window_ms(site: &Site) -> f64 {
+    let windows = site.settings.classes.iter().map(|class| class.key_window_ms.max(class.deadline_ms));
+    windows.fold(0.0, f64::max) + WINDOW_MARGIN_MS
+}
+
 /// What a handover takes.
 pub struct HandoverParts {
     /// The way to the other process.
@@ -34,6 +48,15 @@
     arrivals: Vec<Arrival>,
 }
 
+/// What a handover holds beside the tables of this process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HandoverState {
+    /// Requests that wait for a claim, by class index.
+    pub waiting: Vec<u64>,
+    /// Tries under way in another process that still keep their keys from running.
+    pub remote_tries: usize,
+}
+
 /// The state of the handover.
 pub(super) struct Handover {
     parts: HandoverParts,
@@ -47,6 +70,8 @@
     last_claim: u64,
     /// Keys that have changed in the instant in hand.
     touched: Vec<Key>,
+    /// Keys of the other process that have no place in the table.
+    unknown_classes: UnknownClasses,
 }
 
 impl Handover {
@@ -61,6 +86,7 @@
             claims: BTreeMap::new(),
             last_claim: 0,
             touched: Vec::new(),
+            unknown_classes: UnknownClasses::default(),
         }
     }
 
@@ -70,10 +96,28 @@
 }
 
 impl Core {
+    /// What the handover holds now.
+    pub fn handover_state(&self, now: f64) -> HandoverState {
+        let mut state = HandoverState {
+            waiting: vec![0; self.parts.site.settings.classes.len()],
+            remote_tries: self
+                .keys
+                .remote_tries()
+                .iter()
+                .filter(|(key, _)| self.keys.is_known(key, now))
+                .count(),
+        };
+        let claims = self.handover.iter().flat_map(|handover| handover.claims.values());
+        for arrival in claims.flat_map(|claim| &claim.arrivals) {
+            state.waiting[arrival.class] += 1;
+        }
+        state
+    }
+
     // ---- events in ----
 
     /// Takes what the other process has told.
-    pub(super) fn take_peer_inputs(&mut self, now: f64) {
+    pub fn take_peer_inputs(&mut self, now: f64) {
         self.now_ms = now;
         while let Some(input) = self.handover.as_ref().and_then(|handover| handover.parts.inbox.pop()) {
             match input {
@@ -135,7 +179,16 @@
     pub(super) fn handover_due(&self) -> Option<f64> {
         let handover = self.handover.as_ref()?;
         let predecessor = handover.predecessor.as_ref().and_then(Predecessor::next_due);
-        handover.successor.next_due().into_iter().chain(predecessor).min_by(f64::total_cmp)
+        let waiting = handover.claims.values().flat_map(|claim| &claim.arrivals);
+        let overdue = waiting.map(|arrival| self.overdue_ms(arrival));
+        handover.successor.next_due().into_iter().chain(predecessor).chain(overdue).min_by(f64::total_cmp)
+    }
+
+    /// When a request that waits for a claim is answered in any case, ms.
+    fn overdue_ms(&self, arrival: &Arrival) -> f64 {
+        let settings = &self.parts.site.settings;
+        let slack_ms = settings.rules.answer_slack_ms * OVERDUE_PART;
+        arrival.t0 + settings.classes[arrival.class].deadline_ms + slack_ms
     }
 
     /// Ends the waits that are over.
@@ -143,9 +196,37 @@
         if self.handover_due().is_some_and(|at| now >= at) {
             self.successor_event(now, successor::Event::Tick);
             self.predecessor_event(now, predecessor::Event::Tick);
+            self.fail_overdue_claimants(now);
+        }
+    }
+
+    /// Other settings are in force: keys of classes that have come are entered, and no window is longer than is counted with.
+    pub(super) fn reconfigure_handover(&mut self, now: f64) {
+        let longest_ms = longest_window_ms(&self.parts.site);
+        let Some(handover) = &mut self.handover else { return };
+        // Keys that ran under a longer window keep it.
+        handover.parts.rules.longest_window_ms = handover.parts.rules.longest_window_ms.max(longest_ms);
+        handover.successor.set_longest_window(longest_ms);
+        if let Some(machine) = &mut handover.predecessor {
+            machine.set_longest_window(longest_ms);
+        }
+        let site = &self.parts.site;
+        let is_known = |key: &SharedKey| keyed_class(site, &key.class).is_some();
+        let (records, unknown_until_ms) = handover.unknown_classes.take_known(is_known);
+        records.into_iter().for_each(|record| self.import(now, record));
+        if unknown_until_ms > now {
+            self.keys_unknown_until(now, unknown_until_ms);
         }
     }
 
+    /// Requests of unknown keys fail until then.
+    fn keys_unknown_until(&mut self, now: f64, until_ms: f64) {
+        let Some(handover) = &mut self.handover else { return };
+        tracing::warn!(for_ms = (until_ms - now).round(), "keys-unknown");
+        handover.keys_unknown_until_ms = handover.keys_unknown_until_ms.max(until_ms);
+        self.predecessor_event(now, predecessor::Event::KeysUnknownUntil(until_ms));
+    }
+
     fn successor_event(&mut self, now: f64, event: successor::Event) {
         let Some(handover) = &mut self.handover else { return };
         let mut actions = Vec::new();
@@ -187,13 +268,15 @@
             }
             Action::BeginServing => self.begin_serving(now),
             Action::Import(record) => self.import(now, record),
-            Action::DiscardImports => self.end_remote_tries(Outcome::Moot),
-            Action::FailPeerKeys => self.end_remote_tries(Outcome::Failed),
-            Action::KeysUnknownUntil(until_ms) => {
-                tracing::warn!(for_ms = (until_ms - now).round(), "keys-unknown");
-                handover.keys_unknown_until_ms = until_ms;
-                self.predecessor_event(now, predecessor::Event::KeysUnknownUntil(until_ms));
+            Action::DiscardImports => {
+                handover.unknown_classes.discard_open();
+                self.end_remote_tries(Outcome::Moot);
             }
+            Action::FailPeerKeys => {
+                handover.unknown_classes.fail_open();
+                self.end_remote_tries(Outcome::Failed);
+            }
+            Action::KeysUnknownUntil(until_ms) => self.keys_unknown_until(now, until_ms),
             Action::DecideClaim(claim) => self.decide_claim(now, claim),
             Action::SetDrained(drained) => {
                 self.apply_drained(drained);
@@ -316,7 +399,8 @@
     /// All keys of this process.
     fn key_records(&self) -> Vec<KeyRecord> {
         let keys = self.keys.all().filter(|key| self.is_keyed(key));
-        keys.map(|key| self.key_record(key)).collect()
+        let unknown = self.handover.iter().flat_map(|handover| handover.unknown_classes.all());
+        keys.map(|key| self.key_record(key)).chain(unknown.cloned()).collect()
     }
 
     fn key_record(&self, key: &Key) -> KeyRecord {
@@ -340,13 +424,15 @@
 
     /// The key by the names of this process; none for a class that it does not know.
     fn local_key(&self, key: &SharedKey) -> Option<Key> {
-        let class = *self.parts.site.class_names.get(&key.class)?;
-        Some((class, key.token.clone())).filter(|key| self.is_keyed(key))
+        Some((keyed_class(&self.parts.site, &key.class)?, key.token.clone()))
     }
 
     /// Enters what the other process tells of a key. What this process knows itself stays as it is.
     fn import(&mut self, now: f64, record: KeyRecord) {
-        let Some(key) = self.local_key(&record.key) else { return };
+        let Some(key) = self.local_key(&record.key) else {
+            self.keep_for_unknown_class(now, record);
+            return;
+        };
         let known = self.keys.remote_try(&key);
         if known.is_none() && (record.state == KeyState::Released || self.keys.is_known(&key, now)) {
             return;
@@ -365,6 +451,14 @@
         }
     }
 
+    /// Keeps what is told of a key whose class this process does not know, and hands it on.
+    fn keep_for_unknown_class(&mut self, now: f64, record: KeyRecord) {
+        if let Some(handover) = &mut self.handover {
+            handover.unknown_classes.keep(now, record.clone());
+            self.predecessor_event(now, predecessor::Event::KeyChanged(record));
+        }
+    }
+
     /// Ends all tries that were under way in the other process.
     fn end_remote_tries(&mut self, outcome: Outcome) {
         for (key, id) in self.keys.remote_tries() {
@@ -402,6 +496,52 @@
         self.handover.as_ref().is_some_and(|handover| !handover.claims.is_empty())
     }
 
+    /// Takes requests out that wait for a claim. Whether their keys may run no longer matters: a grant is given back then.
+    fn take_claimants(&mut self, is_meant: impl Fn(&Core, &Arrival) -> bool) -> Vec<Arrival> {
+        let claims = self.handover.iter().flat_map(|handover| &handover.claims);
+        let all = claims.flat_map(|(id, claim)| (0..claim.arrivals.len()).map(move |place| (*id, place)));
+        let meant = |(id, place): &(u64, usize)| {
+            let claim = self.handover.as_ref().and_then(|handover| handover.claims.get(id));
+            claim.is_some_and(|claim| is_meant(self, &claim.arrivals[*place]))
+        };
+        let meant: Vec<(u64, usize)> = all.filter(meant).collect();
+        let Some(handover) = &mut self.handover else { return Vec::new() };
+        // From the back, as each that is taken out moves those behind it.
+        let taken = meant
+            .into_iter()
+            .rev()
+            .filter_map(|(id, place)| handover.claims.get_mut(&id).map(|claim| claim.arrivals.remove(place)));
+        taken.collect()
+    }
+
+    /// The callers of these requests, if they wait for a claim, are gone: none of them is run.
+    pub(super) fn claimants_gone(&mut self, now: f64, caller: u64, ticket: Option<u64>) {
+        let is_meant = |_: &Core, arrival: &Arrival| {
+            arrival.caller.id() == caller && ticket.is_none_or(|ticket| arrival.ticket == ticket)
+        };
+        for arrival in self.take_claimants(is_meant) {
+            self.note(0, arrival.class, super::read_kind(now, &arrival));
+            self.note(0, arrival.class, Kind::Gone { took_ms: now - arrival.t0 });
+            self.parts.counters.count_class(arrival.class, |class| &class.gone);
+        }
+    }
+
+    /// What came on a connection is no message of its wire: what waits for a claim on it fails.
+    pub(super) fn claimants_spoilt(&mut self, now: f64, caller: u64) {
+        let reply = Reply::Failed { late: false, why: Failure::SpoiltConnection };
+        for arrival in self.take_claimants(|_, arrival| arrival.caller.id() == caller) {
+            self.turn_back(now, &arrival, &reply);
+        }
+    }
+
+    fn fail_overdue_claimants(&mut self, now: f64) {
+        let reply = Reply::Failed { late: true, why: Failure::Overdue };
+        for arrival in self.take_claimants(|core, arrival| now >= core.overdue_ms(arrival)) {
+            count(&self.parts.counters.overdue);
+            self.turn_back(now, &arrival, &reply);
+        }
+    }
+
     fn take_claim(&mut self, id: u64) -> Option<WaitingClaim> {
         self.handover.as_mut()?.claims.remove(&id)
     }
@@ -454,3 +594,12 @@
         !waits && !self.keys.is_known(key, now - unread_most_ms) && self.unknown_key(now) == UnknownKey::Run
     }
 }
+
+/// The index under which keys of the class of this name are kept, dropped classes included: of the indexes of one name, one is
+/// keyed at most.
+fn keyed_class(site: &Site, name: &str) -> Option<usize> {
+    let is_keyed = |class: &usize| site.settings.classes[*class].effect == Effect::Keyed;
+    let current = site.class_names.get(name).copied().filter(is_keyed);
+    let mut all = 0..site.settings.classes.len();
+    current.or_else(|| all.find(|class| is_keyed(class) && site.class_name(*class) == name))
+}
