Name the cases of a handover between processes with other settings, and of claims

Each of unknown class, keyed index of a name, three processes, a caller that gives up or closes while it waits for a claim, and the due time of one that waits.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -122,3 +122,92 @@
         })
         .expect("no sequence of events breaks a rule");
 }
+
+// ---- named cases ----
+
+/// A first process, and a second one of these classes that has its keys and serves.
+fn handed_over(classes: &[ClassSpec]) -> World {
+    let mut world = World::serving(FILES[0]);
+    let new = world.start(classes);
+    world.engine_up(new);
+    world.pass(50.0);
+    assert!(world.serves(new) && world.is_linked(0, new));
+    world
+}
+
+/// The second process learns the class only after its key ran in the first.
+#[test]
+fn a_key_of_a_class_that_a_reload_brings_does_not_run_again() {
+    let mut world = World::serving(FILES[0]);
+    let first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    assert_eq!(world.times_run(&first), 1);
+    let new = world.start(&[LOOK]);
+    world.engine_up(new);
+    world.pass(50.0);
+    world.reload(new, FILES[0]);
+    let again = world.arrive(new, "write", 1, 0.0, 0).expect("the class is known");
+    world.end_run(0, run_end(0));
+    world.pass(50.0);
+    assert_eq!(world.times_run(&again), 0);
+    assert_eq!(world.answers(new, &again).len(), 1);
+}
+
+/// The name stands for a class of another kind in the second process when the keys come.
+#[test]
+fn a_key_is_kept_under_the_keyed_index_of_its_name() {
+    let mut world = World::serving(FILES[0]);
+    let new = world.start(FILES[0]);
+    world.reload(new, &[WRITE_AS_READ, LOOK]);
+    let first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    assert_eq!(world.times_run(&first), 1);
+    world.engine_up(new);
+    world.pass(50.0);
+    world.reload(new, FILES[0]);
+    let again = world.arrive(new, "write", 1, 0.0, 0).expect("the class is known");
+    world.pass(50.0);
+    assert_eq!(world.times_run(&again), 0);
+}
+
+#[test]
+fn a_claim_that_reaches_a_process_which_was_taken_over_itself_is_denied() {
+    let mut world = handed_over(FILES[0]);
+    let third = world.start(FILES[0]);
+    world.engine_up(third);
+    world.pass(50.0);
+    assert!(world.serves(third) && world.is_linked(1, third));
+    let at_third = world.arrive(third, "write", 1, 0.0, 0).expect("the class is known");
+    let at_first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    world.pass(50.0);
+    assert_eq!((world.times_run(&at_third), world.times_run(&at_first)), (1, 0));
+    assert_eq!(world.answers(0, &at_first).len(), 1);
+}
+
+#[test]
+fn a_request_whose_caller_gives_up_while_it_waits_for_a_claim_is_not_run() {
+    for closes in [false, true] {
+        let mut world = handed_over(FILES[0]);
+        world.delay_ms = 100.0;
+        let given_up = world.arrive(0, "write", 1, 0.0, 7).expect("the class is known");
+        assert_eq!(world.handover_state(0).waiting, [0, 1]);
+        if closes {
+            world.close(0, 7);
+        } else {
+            world.give_up(0, 0);
+        }
+        assert_eq!(world.handover_state(0).waiting, [0, 0]);
+        world.pass(400.0);
+        assert_eq!(world.times_run(&given_up), 0);
+        let next = world.arrive(1, "write", 1, 0.0, 0).expect("the class is known");
+        world.pass(10.0);
+        assert_eq!(world.times_run(&next), 1, "the claim was given back");
+    }
+}
+
+#[test]
+fn a_request_that_waits_for_a_claim_is_answered_by_its_due_time() {
+    let mut world = handed_over(FILES[0]);
+    world.delay_ms = 400.0;
+    let late = world.arrive(0, "write", 1, DEADLINE_MS - 50.0, 0).expect("the class is known");
+    world.pass(200.0);
+    assert_eq!(world.answers(0, &late).len(), 1);
+}
