--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -49,6 +49,9 @@
     holder: Option<Try>,
     /// The try that was started, in keyed classes; no other may be before its window ends.
     ran: Option<Try>,
+    /// The one that had run before, past its window: tries that came within it may still be read, and count again if the
+    /// later one proves not to have run.
+    ran_before: Option<Try>,
     /// The try whose result is kept here, and that result.
     of: u32,
     result: TryResult,
@@ -61,7 +64,7 @@
 impl Entry {
     fn new(of: u32) -> Self {
         let result = TryResult::Pending;
-        Entry { holder: None, ran: None, of, result, waiters: Vec::new(), remote: None }
+        Entry { holder: None, ran: None, ran_before: None, of, result, waiters: Vec::new(), remote: None }
     }
 
     /// The try that one which came at this time repeats.
@@ -208,12 +211,19 @@
     /// until then.
     pub fn enter_remote(&mut self, key: &Key, id: u32, digest: u64, until: f64) {
         let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(id));
+        if entry.remote == Some(id) {
+            // Told anew. Past its window a try of this process may have taken the entry: that is left alone.
+            if let Some(ran) = entry.ran.as_mut().filter(|ran| ran.id == id) {
+                ran.until = ran.until.max(until);
+            }
+            return;
+        }
         if entry.of != id {
             self.results -= entry.bytes();
             (entry.of, entry.result) = (id, TryResult::Pending);
         }
         entry.holder = None;
-        entry.ran = Some(Try { id, digest, until });
+        entry.ran_before = entry.ran.replace(Try { id, digest, until });
         entry.remote = Some(id);
     }
 
@@ -235,7 +245,7 @@
         if entry.ran.is_some_and(|ran| t0 < ran.until) {
             return Err(AlreadyRan);
         }
-        entry.ran = Some(Try { id, digest, until });
+        entry.ran_before = entry.ran.replace(Try { id, digest, until });
         self.results -= entry.bytes();
         (entry.of, entry.result) = (id, TryResult::Pending);
         Ok(())
@@ -283,7 +293,9 @@
         let waited: Vec<(u32, u32)> = waited;
         let mut dropped = false;
         if never_ran {
-            entry.ran = entry.ran.filter(|ran| ran.id != id);
+            if entry.ran.is_some_and(|ran| ran.id == id) {
+                entry.ran = entry.ran_before.take();
+            }
             entry.holder = entry.holder.filter(|holder| holder.id != id);
         } else if entry.of == id {
             let held = self.results - entry.bytes();
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,213 @@
+//! Two processes of one server during an upgrade, with real cores: whatever comes in whatever order, no key runs twice in its
+//! window, each request read is answered once and in time, and all counters add up.
+
+mod bench;
+#[path = "handover/mod.rs"]
+mod world;
+
+use pinepoint::node::lifecycle::Phase as Life;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use world::*;
+
+const CASES: u32 = 400;
+/// Overrides the first byte of the seed, to look for more.
+const SEED_VARIABLE: &str = "HANDOVER_SEED";
+const CASES_VARIABLE: &str = "HANDOVER_CASES";
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start { classes: usize },
+    EngineUp,
+    Arrive { newer: bool, class: u8, token: u8, age: u16, caller: u64 },
+    EndRun { pick: usize, how: u8 },
+    GiveUp { newer: bool, pick: usize },
+    Close { newer: bool, caller: u64 },
+    Pass { ms: u16 },
+    Delay { ms: u16 },
+    Drain { newer: bool, drained: bool },
+    Terminate,
+    Crash { newer: bool, kept: usize },
+    Cut { kept: usize },
+    Reload { newer: bool, classes: usize },
+}
+
+const FILES: [&[ClassSpec]; 4] = [&[LOOK, WRITE], &[LOOK], &[WRITE, PAY, LOOK], &[WRITE_AS_READ, LOOK]];
+
+fn step() -> impl Strategy<Value = Step> {
+    let age = prop_oneof![4 => 0..100u16, 1 => 0..2500u16];
+    let ms = prop_oneof![6 => 0..40u16, 3 => 0..400u16, 1 => 0..1500u16];
+    let delay = prop_oneof![6 => 0..20u16, 2 => 0..200u16, 1 => 400..700u16];
+    prop_oneof![
+        2 => (0..FILES.len()).prop_map(|classes| Step::Start { classes }),
+        3 => Just(Step::EngineUp),
+        30 => (any::<bool>(), 0..4u8, 0..3u8, age, 0..3u64).prop_map(|(newer, class, token, age, caller)| {
+            Step::Arrive { newer, class, token, age, caller }
+        }),
+        12 => (any::<usize>(), any::<u8>()).prop_map(|(pick, how)| Step::EndRun { pick, how }),
+        3 => (any::<bool>(), any::<usize>()).prop_map(|(newer, pick)| Step::GiveUp { newer, pick }),
+        1 => (any::<bool>(), 0..3u64).prop_map(|(newer, caller)| Step::Close { newer, caller }),
+        12 => ms.prop_map(|ms| Step::Pass { ms }),
+        3 => delay.prop_map(|ms| Step::Delay { ms }),
+        2 => (any::<bool>(), any::<bool>()).prop_map(|(newer, drained)| Step::Drain { newer, drained }),
+        1 => Just(Step::Terminate),
+        1 => (any::<bool>(), 0..4usize).prop_map(|(newer, kept)| Step::Crash { newer, kept }),
+        1 => (0..4usize).prop_map(|kept| Step::Cut { kept }),
+        2 => (any::<bool>(), 0..FILES.len()).prop_map(|(newer, classes)| Step::Reload { newer, classes }),
+    ]
+}
+
+/// Once the new process serves without a link to the old one, the platform ends the old one.
+fn end_old_if_alone(world: &mut World) {
+    let apart = world.processes.len() == 2 && world.serves(1) && !world.is_linked(0, 1);
+    if apart && world.processes[0].alive {
+        world.terminate(0);
+    }
+}
+
+fn play(steps: &[Step]) {
+    let mut world = World::serving(FILES[0]);
+    for step in steps {
+        let newest = world.processes.len() - 1;
+        let at = |newer: bool| if newer { newest } else { 0 };
+        match *step {
+            Step::Start { classes } => {
+                if world.processes.len() == 1 && world.processes[0].alive {
+                    world.start(FILES[classes]);
+                }
+            }
+            Step::EngineUp => {
+                if newest == 1 && matches!(world.life(1), Life::Starting | Life::StartingDrained) {
+                    world.engine_up(1);
+                }
+            }
+            Step::Arrive { newer, class, token, age, caller } => {
+                let index = at(newer);
+                let class = ["look", "write", "write", "pay"][usize::from(class)];
+                if Life::Serving <= world.life(index) && world.life(index) < Life::Finishing {
+                    world.arrive(index, class, token, f64::from(age), caller);
+                }
+            }
+            Step::EndRun { pick, how } => world.end_run(pick, run_end(how)),
+            Step::GiveUp { newer, pick } => world.give_up(at(newer), pick),
+            Step::Close { newer, caller } => world.close(at(newer), caller),
+            Step::Pass { ms } => world.pass(f64::from(ms)),
+            Step::Delay { ms } => world.delay_ms = f64::from(ms),
+            Step::Drain { newer, drained } => world.set_drained(at(newer), drained),
+            Step::Terminate => world.terminate(0),
+            Step::Crash { newer, kept } => world.crash(at(newer), kept),
+            Step::Cut { kept } => world.cut(kept),
+            Step::Reload { newer, classes } => world.reload(at(newer), FILES[classes]),
+        }
+        end_old_if_alone(&mut world);
+    }
+    world.settle_and_check();
+}
+
+#[test]
+fn rules_hold_under_random_events_at_both_processes() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u32>().ok());
+    let seed = number(SEED_VARIABLE).unwrap_or(11);
+    println!("seed {seed}");
+    let cases = number(CASES_VARIABLE).unwrap_or(CASES);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let mut bytes = [0; 32];
+    bytes[..4].copy_from_slice(&seed.to_le_bytes());
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes));
+    let steps = proptest::collection::vec(step(), 1..150);
+    runner
+        .run(&steps, |steps| {
+            play(&steps);
+            Ok(())
+        })
+        .expect("no sequence of events breaks a rule");
+}
+
+// ---- named cases ----
+
+/// A first process, and a second one of these classes that has its keys and serves.
+fn handed_over(classes: &[ClassSpec]) -> World {
+    let mut world = World::serving(FILES[0]);
+    let new = world.start(classes);
+    world.engine_up(new);
+    world.pass(50.0);
+    assert!(world.serves(new) && world.is_linked(0, new));
+    world
+}
+
+/// The second process learns the class only after its key ran in the first.
+#[test]
+fn a_key_of_a_class_that_a_reload_brings_does_not_run_again() {
+    let mut world = World::serving(FILES[0]);
+    let first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    assert_eq!(world.times_run(&first), 1);
+    let new = world.start(&[LOOK]);
+    world.engine_up(new);
+    world.pass(50.0);
+    world.reload(new, FILES[0]);
+    let again = world.arrive(new, "write", 1, 0.0, 0).expect("the class is known");
+    world.end_run(0, run_end(0));
+    world.pass(50.0);
+    assert_eq!(world.times_run(&again), 0);
+    assert_eq!(world.answers(new, &again).len(), 1);
+}
+
+/// The name stands for a class of another kind in the second process when the keys come.
+#[test]
+fn a_key_is_kept_under_the_keyed_index_of_its_name() {
+    let mut world = World::serving(FILES[0]);
+    let new = world.start(FILES[0]);
+    world.reload(new, &[WRITE_AS_READ, LOOK]);
+    let first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    assert_eq!(world.times_run(&first), 1);
+    world.engine_up(new);
+    world.pass(50.0);
+    world.reload(new, FILES[0]);
+    let again = world.arrive(new, "write", 1, 0.0, 0).expect("the class is known");
+    world.pass(50.0);
+    assert_eq!(world.times_run(&again), 0);
+}
+
+#[test]
+fn a_claim_that_reaches_a_process_which_was_taken_over_itself_is_denied() {
+    let mut world = handed_over(FILES[0]);
+    let third = world.start(FILES[0]);
+    world.engine_up(third);
+    world.pass(50.0);
+    assert!(world.serves(third) && world.is_linked(1, third));
+    let at_third = world.arrive(third, "write", 1, 0.0, 0).expect("the class is known");
+    let at_first = world.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    world.pass(50.0);
+    assert_eq!((world.times_run(&at_third), world.times_run(&at_first)), (1, 0));
+    assert_eq!(world.answers(0, &at_first).len(), 1);
+}
+
+#[test]
+fn a_request_whose_caller_gives_up_while_it_waits_for_a_claim_is_not_run() {
+    for closes in [false, true] {
+        let mut world = handed_over(FILES[0]);
+        world.delay_ms = 100.0;
+        let given_up = world.arrive(0, "write", 1, 0.0, 7).expect("the class is known");
+        assert_eq!(world.handover_state(0).waiting, [0, 1]);
+        if closes {
+            world.close(0, 7);
+        } else {
+            world.give_up(0, 0);
+        }
+        assert_eq!(world.handover_state(0).waiting, [0, 0]);
+        world.pass(400.0);
+        assert_eq!(world.times_run(&given_up), 0);
+        let next = world.arrive(1, "write", 1, 0.0, 0).expect("the class is known");
+        world.pass(10.0);
+        assert_eq!(world.times_run(&next), 1, "the claim was given back");
+    }
+}
+
+#[test]
+fn a_request_that_waits_for_a_claim_is_answered_by_its_due_time() {
+    let mut world = handed_over(FILES[0]);
+    world.delay_ms = 400.0;
+    let late = world.arrive(0, "write", 1, DEADLINE_MS - 50.0, 0).expect("the class is known");
+    world.pass(200.0);
+    assert_eq!(world.answers(0, &late).len(), 1);
+}
