--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -62,6 +62,7 @@
         if config.management != self.config.management {
             // Written for a process that is started beside this one: its engine is not this one's.
             (config.engine, config.management) = (self.config.engine, self.config.management);
+            tracing::warn!(engine = %config.engine, "engine-kept-as-the-file-is-for-another-process");
         }
         let Config { engine, store, members, memory_mb, stop_ms, .. } = config;
         let settings = NewSettings { site: config.site.clone(), stop_ms, memory_mb };
