--- a/tests/handover/mod.rs
+++ b/tests/handover/mod.rs
@@ -32,8 +32,6 @@
 /// How long the answer to a request may come after its due time or, if that is later, its reading, ms: the slack of the
 /// rules and two looks of the core.
 const ANSWER_SLACK_MS: f64 = 200.0;
-/// How long a request may wait for a claim, with one tick of the core, ms.
-const CLAIM_MOST_MS: f64 = 550.0;
 /// A wait of a successor for the hello, ms.
 const GREETING_MS: f64 = 1000.0;
 /// Deadline of all classes, ms.
@@ -182,7 +180,6 @@
     /// When it looks for a predecessor again.
     finds_ms: Option<f64>,
     kill_ms: Option<f64>,
-    claims_since: BTreeMap<u64, f64>,
 }
 
 /// What a request names: of each, the same in all processes.
@@ -274,7 +271,6 @@
             is_released: false,
             finds_ms: Some(self.now),
             kill_ms: None,
-            claims_since: BTreeMap::new(),
         });
         self.pass(0.0);
         index
@@ -654,11 +650,6 @@
                 read.read_ms
             );
         }
-        let waiting: u64 = handover.waiting.iter().sum();
-        let since = process.claims_since.entry(0).or_insert(now);
-        if waiting == 0 {
-            *since = now;
-        }
     }
 
     /// What has to hold once all is quiet.
