--- a/src/bin/pinepoint/config.rs
+++ b/src/bin/pinepoint/config.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Reads and checks the file, if one was named; without it all is off.
+    pub fn read_if_named(file: Option<&Path>) -> Result<Edge, FileError> {
+        file.map_or_else(|| Ok(Edge::default()), Edge::read)
+    }
+
     /// Reads and checks the file.
     pub fn read(file: &Path) -> Result<Edge, FileError> {
         parse_toml(file, &read_text(file)?)
--- a/src/bin/pinepoint/upgrade.rs
+++ b/src/bin/pinepoint/upgrade.rs
@@ -6,7 +6,6 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use async_io::Async;
 use pinepoint::node::core::{HandoverParts, longest_window_ms};
 use pinepoint::node::handover::{Host, Links};
 use pinepoint::node::listen::bind_shared;
@@ -16,7 +15,9 @@
 use pinepoint_handover::io::{Connected, connect, socket_path};
 use pinepoint_handover::ownership::{NoPredecessor, Rules};
 
-use super::{Signs, StartError, bind, with_address};
+use crate::bind::{Bound, bind, with_address};
+use crate::signals::Signs;
+use crate::start_error::StartError;
 
 /// The directory that all processes of a server share.
 const SHARED_DIRECTORY: &str = "TMPDIR";
@@ -55,7 +56,7 @@
         address: SocketAddr,
         signs: &mut Signs,
         clock: &Clock,
-    ) -> Result<Option<(Async<TcpListener>, SocketAddr)>, StartError> {
+    ) -> Result<Option<Bound>, StartError> {
         let passed = self.found.as_mut().ok().and_then(|found| take_named(&mut found.listeners, name));
         let opened = match passed {
             Some(listener) => Some(with_address(listener).map_err(|e| StartError::System(name, e))?),
@@ -108,7 +109,7 @@
     address: SocketAddr,
     signs: &mut Signs,
     clock: &Clock,
-) -> Result<Option<(Async<TcpListener>, SocketAddr)>, StartError> {
+) -> Result<Option<Bound>, StartError> {
     match upgrade {
         Some(upgrade) => upgrade.open(name, address, signs, clock),
         None => bind(name, address, bind_alone, signs, clock),
