Give back the room of the key table after a peak, which a test of memory met by chance

Cause: the hash table of keys stands at exactly the 224 entries that its size holds, and doubles where deleted places, which the hash's random key spreads, fill it; an entry has grown by the handover.

--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -13,6 +13,10 @@
 /// caller waits.
 const AFTERLIFE_MS: f64 = 15_000.0;
 
+/// The table may be so many times larger than what it holds, and a few entries more, before it gives room back.
+const SPARE_MOST: usize = 4;
+const ROOM_LEAST: usize = 64;
+
 /// A name by which requests are known, and the class in which it counts: the subject of a read counts in its class, the token of
 /// a keyed request in all keyed classes, which stand under [`KEYED`].
 pub type Key = (usize, String);
@@ -337,5 +341,14 @@
             live
         });
         self.results -= freed;
+        self.give_back_room();
+    }
+
+    /// Gives back what a peak has left: a table that keeps its largest size is memory for as long as the process lives.
+    fn give_back_room(&mut self) {
+        let used = self.entries.len();
+        if self.entries.capacity() > SPARE_MOST * used + ROOM_LEAST {
+            self.entries.shrink_to(2 * used);
+        }
     }
 }
