Share the discarding of late bytes, the longest deadline and the slack of overdue answers

Read once more: the bounded reading behind an answer stood in connection.rs and management.rs, the longest deadline in core.rs and core/handover.rs, the slack after a due time in the core's watch and in the wait for a claim. Each is one function now. A run no longer copies its key where no successor has to be told. No change of behaviour, tests untouched.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// The longest time that a client of any class waits.
+    pub fn longest_deadline_ms(&self) -> f64 {
+        self.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max)
+    }
+
     /// Tells whether the settings make sense. Only [`Settings::memory_kb`] may be infinite, for no limit.
     pub fn check(&self) -> Result<(), SettingsError> {
         let rules = &self.rules;
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -1,12 +1,12 @@
-//! One caller's connection, the same for every front: its reading half, its writing half, and the one way in which it ends. No more is taken in, what was read is answered, output is flushed, the writing
-//! half is shut, what still comes is read and thrown away under a bound, then it is closed. It must never know a wire
-//! or touch a request.
+//! One caller's connection, the same for every front: its reading half, its writing half, and the one way in which it
+//! ends. No more is taken in, what was read is answered, output is flushed, the writing half is shut, what still comes is
+//! read and thrown away under a bound, then it is closed. It must never know a wire or touch a request.
 
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::{Shutdown, TcpStream};
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
 
 use async_io::Async;
@@ -289,25 +289,24 @@
 }
 
 /// Shuts the writing half and throws away what still comes, until the other side closes or a bound is reached.
-async fn linger(mut stream: &Async<TcpStream>, guest: &Guest, front: &Front) {
+async fn linger(stream: &Async<TcpStream>, guest: &Guest, front: &Front) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     guest.set_lingering();
     let finishing = async {
         front.status.finishing.passed().await;
         front.clock.pause(LAST_LINGER_MS).await;
     };
-    let mut bound =
-        pin!(future::or(front.clock.pause(LINGER_MS), future::or(guest.is_to_make_way(), finishing)));
-    let (mut chunk, mut left) = ([0; 4096], LINGER_BYTES);
-    loop {
-        let bound = async {
-            bound.as_mut().await;
-            Ok(0)
-        };
-        match future::or(stream.read(&mut chunk), bound).await {
-            Ok(n) if n > 0 && n < left => left -= n,
-            _ => return,
-        }
+    let bound = future::or(front.clock.pause(LINGER_MS), future::or(guest.is_to_make_way(), finishing));
+    future::or(discard(stream, LINGER_BYTES), bound).await;
+}
+
+/// Reads and throws away what comes, until the other side closes or has sent so many bytes.
+pub async fn discard(mut stream: &Async<TcpStream>, most: usize) {
+    let (mut chunk, mut left) = ([0; 4096], most);
+    while let Ok(read) = stream.read(&mut chunk).await
+        && (1..left).contains(&read)
+    {
+        left -= read;
         future::yield_now().await;
     }
 }
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -820,9 +820,14 @@
         }
     }
 
+    /// How long after its due time the core answers a request that nothing else has answered, ms.
+    fn overdue_slack_ms(&self) -> f64 {
+        self.parts.site.settings.rules.answer_slack_ms * OVERDUE_PART
+    }
+
     /// What holds whatever the module does: nothing stays unanswered past its time.
     fn watch(&mut self, now: f64) {
-        let slack = self.parts.site.settings.rules.answer_slack_ms * OVERDUE_PART;
+        let slack = self.overdue_slack_ms();
         let owed = self.requests.iter().filter(|(_, open)| open.caller.is_some());
         let late = owed.filter(|(_, open)| now >= open.due_ms + slack);
         for id in late.map(|(id, _)| id).collect::<Vec<_>>() {
@@ -938,7 +943,6 @@
                 return;
             }
         }
-        let key = open.key.clone();
         open.phase = Phase::Running;
         open.began_ms = now;
         open.commanded = self.asks;
@@ -946,7 +950,7 @@
         if self.engine_up && self.barrier.is_none() {
             self.parts.engine.run(&open.rid, self.parts.site.class_name(open.class), &open.body);
         }
-        key.iter().for_each(|key| self.touch(key));
+        self.touch_key_of(id);
         self.note_of(id, |_| Kind::Decided(Decision::Run));
         self.note_of(id, |open| Kind::RunBegan { held_ms: now - open.read_ms });
     }
@@ -1032,8 +1036,7 @@
 
 /// The times of a drain.
 fn times(site: &Site, stop_ms: f64) -> Times {
-    let deadlines = site.settings.classes.iter().map(|class| class.deadline_ms);
-    let longest_ms = deadlines.fold(0.0, f64::max).min(HANDOVER_DEADLINE_MOST_MS);
+    let longest_ms = site.settings.longest_deadline_ms().min(HANDOVER_DEADLINE_MOST_MS);
     let handover_stop_ms = stop_ms.min(longest_ms + HANDOVER_MARGIN_MS);
     Times { grace_ms: site.settings.rules.drain_grace_ms, stop_ms, handover_stop_ms }
 }
--- a/src/node/core/handover.rs
+++ b/src/node/core/handover.rs
@@ -11,7 +11,7 @@
 use pinepoint_handover::predecessor::{self, Predecessor};
 use pinepoint_handover::successor::{self, Successor};
 
-use super::{Core, EngineStart, Key, Life, OVERDUE_PART, UNREAD_MORE_MS, UNREAD_MOST};
+use super::{Core, EngineStart, Key, Life, UNREAD_MORE_MS, UNREAD_MOST};
 use crate::Outcome;
 use crate::node::counters::count;
 use crate::node::keys::{KEYED, Record, TryResult};
@@ -180,9 +180,8 @@
 
     /// When a request that waits for a claim is answered in any case, ms.
     fn overdue_ms(&self, arrival: &Arrival) -> f64 {
-        let settings = &self.parts.site.settings;
-        let slack_ms = settings.rules.answer_slack_ms * OVERDUE_PART;
-        arrival.t0 + settings.classes[arrival.class].deadline_ms + slack_ms
+        let class = &self.parts.site.settings.classes[arrival.class];
+        arrival.t0 + class.deadline_ms + self.overdue_slack_ms()
     }
 
     /// Ends the waits that are over.
@@ -358,6 +357,15 @@
         }
     }
 
+    /// The same for the key of a request. Nothing is copied where there is nobody to tell.
+    pub(super) fn touch_key_of(&mut self, id: u32) {
+        if self.handover.as_ref().is_some_and(Handover::has_successor)
+            && let Some((key, _)) = self.key_of(id)
+        {
+            self.touch(&key);
+        }
+    }
+
     /// Tells the successor of all keys that have changed in the instant in hand.
     pub(super) fn tell_successor_of_keys(&mut self, now: f64) {
         let Some(handover) = &mut self.handover else { return };
@@ -548,8 +556,7 @@
             self.settle(now);
         }
         // The claim does not say when its request reached the machine: it may have lain unread for so long.
-        let deadlines = self.parts.site.settings.classes.iter().map(|class| class.deadline_ms);
-        let unread_most_ms = deadlines.fold(0.0, f64::max) * UNREAD_MOST + UNREAD_MORE_MS;
+        let unread_most_ms = self.parts.site.settings.longest_deadline_ms() * UNREAD_MOST + UNREAD_MORE_MS;
         let waits = self.handover.iter().flat_map(|h| h.claims.values()).any(|claim| claim.key == *key);
         !waits && !self.keys.is_known(key, now - unread_most_ms) && self.unknown_key(now) == UnknownKey::Run
     }
--- a/src/node/management.rs
+++ b/src/node/management.rs
@@ -12,6 +12,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use pinepoint_clock::Clock;
 
+use super::connection::discard;
 use super::counters::{ClassCounters, Counters};
 use super::lifecycle::Phase;
 use super::status::Status;
@@ -245,22 +246,12 @@
     let write = async {
         if stream.write_all(answer.as_bytes()).await.is_ok() {
             let _ = stream.get_ref().shutdown(Shutdown::Write);
-            discard(stream).await;
+            discard(stream, LINGER_BYTES).await;
         }
     };
     future::or(write, management.clock.pause(LINGER_MS)).await;
 }
 
-/// Reads what still comes, up to a bound.
-async fn discard(mut stream: &Async<TcpStream>) {
-    let mut left = LINGER_BYTES;
-    while let Ok(read) = stream.read(&mut [0; LINE_MOST]).await
-        && (1..left).contains(&read)
-    {
-        left -= read;
-    }
-}
-
 /// Reads up to the end of the first line; tells the length of the line without its end.
 async fn read_line(mut stream: &Async<TcpStream>, line: &mut [u8; LINE_MOST]) -> Result<usize, CallError> {
     let mut filled = 0;
