Log how long a connection waited in the backlog for capacity

Cause: a connection that waits to be accepted is known to nobody, so neither the log nor a counter tells a full limit of connections from a slow engine or a late reader when its requests are rejected as too late.

Change: the accepting process logs accept-delayed with the time of the wait, its own connections, those of the other process and the limit, when a wait of 100 ms or more ends. Nothing else changes.

--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -16,6 +16,17 @@
 const MIN_IDLE_BEFORE_EVICTION_MS: f64 = 500.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
+/// What counts against the limit on connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUsage {
+    /// Open connections of this process.
+    pub own: usize,
+    /// Open connections of the other process of this server, and what it holds beside them.
+    pub peer: usize,
+    /// The most that both may come to.
+    pub limit: usize,
+}
+
 /// Keeps the connections of all frontends below the limit on descriptors, and sums what they have queued.
 #[derive(Debug)]
 pub struct ConnectionLimiter {
@@ -79,7 +90,17 @@
 
     /// Whether no further connection is allowed.
     pub fn is_full(&self) -> bool {
-        self.connections.borrow().len() + self.peer_connections.get() >= self.max_connections
+        let ConnectionUsage { own, peer, limit } = self.usage();
+        own + peer >= limit
+    }
+
+    /// What counts against the limit on connections now.
+    pub fn usage(&self) -> ConnectionUsage {
+        ConnectionUsage {
+            own: self.connections.borrow().len(),
+            peer: self.peer_connections.get(),
+            limit: self.max_connections,
+        }
     }
 
     /// Replaces the bytes that one connection had queued in the sum by those that it has now.
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -17,11 +17,13 @@
 use crate::server::core::api::CoreInput;
 use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
-use crate::server::frontend::limiter::{ConnectionLimiter, ListenerGuard};
+use crate::server::frontend::limiter::{ConnectionLimiter, ConnectionUsage, ListenerGuard};
 use crate::server::observability::counters::count;
 
 /// Wait before the next attempt where there is no capacity or no free descriptor, ms.
 const FULL_RETRY_MS: f64 = 20.0;
+/// A wait for capacity that is logged when it ends, ms. A caller waits in the backlog meanwhile.
+const LOGGED_WAIT_MS: f64 = 100.0;
 /// Connections that may wait to be accepted: hundreds come at once, and one that finds no place in the queue tries again
 /// only after a second.
 const ACCEPT_BACKLOG: i32 = 1024;
@@ -66,7 +68,9 @@
         tracing::warn!(%error, "backlog-not-set");
     }
     let open_connections = Rc::new(Cell::new(0));
-    let acceptor = Acceptor { frontend, listener, max_connections, open_connections, context, executor };
+    let full_since_ms = Cell::new(None);
+    let acceptor =
+        Acceptor { frontend, listener, max_connections, open_connections, full_since_ms, context, executor };
     while acceptor.step(&serve).await.is_continue() {}
 }
 
@@ -78,6 +82,8 @@
     max_connections: usize,
     /// Connections that were accepted here and are not closed.
     open_connections: Rc<Cell<usize>>,
+    /// Since when a connection waits for capacity, Unix ms.
+    full_since_ms: Cell<Option<f64>>,
     context: Rc<FrontendContext>,
     executor: Rc<LocalExecutor<'static>>,
 }
@@ -113,6 +119,7 @@
             self.make_capacity().await;
             return ControlFlow::Continue(());
         }
+        self.log_wait_for_capacity();
         match self.next_connection().await {
             AcceptEvent::Paused => {}
             AcceptEvent::Stopped => return ControlFlow::Break(()),
@@ -155,6 +162,7 @@
         if let CapacityEvent::Changed = self.capacity_event().await {
             return;
         }
+        self.full_since_ms.set(self.full_since_ms.get().or(Some(clock.now())));
         if limiter.is_full() {
             limiter.evict_one(clock.now());
             observer.process_event(clock.now(), ProcessEvent::LimitReached(ResourceLimit::Connections));
@@ -162,6 +170,17 @@
         future::or(limiter.capacity_change(), clock.pause(FULL_RETRY_MS)).await;
     }
 
+    /// Logs how long a connection waited for capacity, if that was long: nothing else shows it, as a connection in the
+    /// backlog is known to nobody.
+    fn log_wait_for_capacity(&self) {
+        let Some(since_ms) = self.full_since_ms.take() else { return };
+        let waited_ms = (self.context.clock.now() - since_ms).round();
+        if waited_ms >= LOGGED_WAIT_MS {
+            let ConnectionUsage { own, peer, limit } = self.context.limiter.usage();
+            tracing::info!(front = self.frontend, waited_ms, own, peer, limit, "accept-delayed");
+        }
+    }
+
     async fn capacity_event(&self) -> CapacityEvent {
         let connecting = async {
             match self.listener.socket.readable().await {
