Test that clients which reconnect in an upgrade are served under a tight limit

Without the pause the new process has mostly not heard yet how many connections the old one holds, and accepts as if there were none.

--- a/tests/upgrade/environment.rs
+++ b/tests/upgrade/environment.rs
@@ -63,3 +63,26 @@
         assert_eq!(client.wait_for_ending(DEFAULT_TIMEOUT), Some(Ending::Closed));
     }
 }
+
+/// What happened: a client that was told to go reconnected, waited about 2 s in the backlog, and its requests were rejected as
+/// too late. It is [`both_processes_fit_only_together`] with a pause before the notice to leave: without one the new process
+/// had not always heard how many connections the old one held, and accepted beyond the limit of both.
+#[test]
+fn a_client_that_reconnects_is_served_while_old_connections_rest() {
+    let deployment = deployment_of(Setup { sockets: 48, ..setup() });
+    let mut old = start_ready(&deployment, quick_engine());
+    let resting: Vec<Client> = (0..20).map(|_| connect(&deployment)).collect();
+    for client in &resting {
+        assert_served(client, &Request::read("resting"));
+    }
+    let load = light_load(&deployment);
+    std::thread::sleep(SETTLE);
+    let _new = take_over(&deployment);
+    std::thread::sleep(SETTLE);
+    terminate(&deployment, &mut old);
+    std::thread::sleep(SETTLE);
+    assert_all_served(load);
+    for client in &resting {
+        assert_eq!(client.wait_for_ending(DEFAULT_TIMEOUT), Some(Ending::Closed));
+    }
+}
