Leave a new connection time for its first message before it is evicted

What callers saw: with all connections of a process taken, one that had just connected was shut out again within 1 ms, and its first request got no answer.

Cause: evict_one takes the oldest connection without a message first, of whatever age. Where callers use all others, that is the one accepted last, which had a single turn of the executor.

Change: such a connection is not evicted in its first 50 ms, and no used one in its place. The listener waits until the first message comes or the time is over. Why it holds: a caller sends as soon as its connect returns, and what is silent longer is still evicted before anything that callers use.

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -108,7 +108,8 @@
     async fn next(&mut self) -> Result<(), CloseReason> {
         let payload = self.packet(None).await?;
         let connection = self.connection.clone();
-        connection.state.message_received(connection.context.clock.now());
+        let FrontendContext { limiter, clock, .. } = &*connection.context;
+        limiter.message_received(&connection.state, clock.now());
         match payload.first() {
             Some(&code::CPING) if payload.len() == 1 => {
                 count(&connection.context.counters.pings);
--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -14,6 +14,9 @@
 const QUEUED_MEMORY_FRACTION: f64 = 0.125;
 /// Idle time after which a connection that has brought a message may be evicted, ms: its router may be about to use it.
 const MIN_IDLE_BEFORE_EVICTION_MS: f64 = 500.0;
+/// Time in which a new connection is not evicted though it has brought no message, ms: a caller connects to send something.
+/// Without it, where all connections are taken, each new one would be closed for the next before its request can come.
+const NEW_CONNECTION_GRACE_MS: f64 = 50.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// What counts against the limit on connections.
@@ -27,6 +30,17 @@
     pub limit: usize,
 }
 
+/// What came of the search for a connection to evict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// One was asked to close.
+    Requested,
+    /// None was: the next in line is so new that its first message may be under way.
+    Deferred,
+    /// None may be evicted.
+    NoCandidate,
+}
+
 /// Keeps the connections of all frontends below the limit on descriptors, and sums what they have queued.
 #[derive(Debug)]
 pub struct ConnectionLimiter {
@@ -37,6 +51,8 @@
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     last_id: Cell<u64>,
     capacity_change: Notify,
+    /// A connection has brought its first message.
+    first_message: Notify,
     open_listeners: Cell<usize>,
     queued_bytes: Cell<usize>,
     max_queued_bytes: Cell<usize>,
@@ -51,6 +67,7 @@
             connections: RefCell::default(),
             last_id: Cell::new(0),
             capacity_change: Notify::default(),
+            first_message: Notify::default(),
             open_listeners: Cell::new(0),
             queued_bytes: Cell::new(0),
             max_queued_bytes: Cell::new(max_queued_bytes(memory_mb)),
@@ -83,6 +100,19 @@
         self.capacity_change.wake();
     }
 
+    /// Notes that a connection has brought a complete message at `now`, Unix ms.
+    pub fn message_received(&self, state: &ConnectionState, now: f64) {
+        if !state.received_message.get() {
+            self.first_message.wake();
+        }
+        state.message_received(now);
+    }
+
+    /// Completes when a deferred eviction may be possible: a connection has brought its first message.
+    pub async fn first_message(&self) {
+        self.first_message.wait().await;
+    }
+
     /// Completes when there may be capacity again.
     pub async fn capacity_change(&self) {
         self.capacity_change.wait().await;
@@ -117,7 +147,7 @@
     /// Asks one connection to close that was not asked yet: one that only waits for its other side to close, the oldest that
     /// has brought no message, or else the one that was idle longest. Without it hundreds that send nothing, or that
     /// send one request and stay, would shut all routers out.
-    pub fn evict_one(&self, now: f64) {
+    pub fn evict_one(&self, now: f64) -> Eviction {
         let connections = self.connections.borrow();
         let candidates = || connections.values().filter(|state| !state.is_eviction_requested());
         let lingering = || candidates().find(|state| state.is_lingering());
@@ -126,12 +156,23 @@
             let idle = candidates().filter(|state| is_evictable(state, now));
             idle.min_by(|a, b| a.last_active_ms.get().total_cmp(&b.last_active_ms.get()))
         };
-        if let Some(state) = lingering().or_else(silent).or_else(longest_idle) {
-            state.request_eviction();
+        match lingering().or_else(silent).or_else(longest_idle) {
+            None => Eviction::NoCandidate,
+            Some(state) if is_new(state, now) => Eviction::Deferred,
+            Some(state) => {
+                state.request_eviction();
+                Eviction::Requested
+            }
         }
     }
 }
 
+/// Whether a connection has brought no message and is so new that one may be under way.
+fn is_new(state: &ConnectionState, now: f64) -> bool {
+    let is_silent = !state.received_message.get() && !state.is_lingering();
+    is_silent && now < state.last_active_ms.get() + NEW_CONNECTION_GRACE_MS
+}
+
 /// Whether a connection that has brought a message has been idle for long enough to be evicted.
 fn is_evictable(state: &ConnectionState, now: f64) -> bool {
     !state.request_in_flight.get() && now >= state.last_active_ms.get() + MIN_IDLE_BEFORE_EVICTION_MS
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -17,7 +17,7 @@
 use crate::server::core::api::CoreInput;
 use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
-use crate::server::frontend::limiter::{ConnectionLimiter, ConnectionUsage, ListenerGuard};
+use crate::server::frontend::limiter::{ConnectionLimiter, ConnectionUsage, Eviction, ListenerGuard};
 use crate::server::observability::counters::count;
 
 /// Wait before the next attempt where there is no capacity or no free descriptor, ms.
@@ -163,11 +163,16 @@
             return;
         }
         self.full_since_ms.set(self.full_since_ms.get().or(Some(clock.now())));
+        let mut eviction = Eviction::NoCandidate;
         if limiter.is_full() {
-            limiter.evict_one(clock.now());
+            eviction = limiter.evict_one(clock.now());
             observer.process_event(clock.now(), ProcessEvent::LimitReached(ResourceLimit::Connections));
         }
-        future::or(limiter.capacity_change(), clock.pause(FULL_RETRY_MS)).await;
+        let changed = future::or(limiter.capacity_change(), clock.pause(FULL_RETRY_MS));
+        match eviction {
+            Eviction::Deferred => future::or(limiter.first_message(), changed).await,
+            Eviction::Requested | Eviction::NoCandidate => changed.await,
+        }
     }
 
     /// Logs how long a connection waited for capacity, if that was long: nothing else shows it, as a connection in the
--- a/src/server/frontend/rpc/connection.rs
+++ b/src/server/frontend/rpc/connection.rs
@@ -71,7 +71,7 @@
             return Ok(handled);
         };
         handled += 1;
-        connection.state.message_received(context.clock.now());
+        context.limiter.message_received(&connection.state, context.clock.now());
         connection.handle(message).await?;
     }
 }
--- /dev/null
+++ b/tests/limiter.rs
@@ -0,0 +1,63 @@
+//! Which connections are evicted for others where all are taken, at given times.
+
+use std::rc::Rc;
+
+use pinepoint::server::frontend::connection_state::ConnectionState;
+use pinepoint::server::frontend::limiter::{ConnectionLimiter, Eviction};
+
+const MEMORY_MB: f64 = 64.0;
+/// Long ago for a connection that carries nothing, ms.
+const LONG_IDLE_MS: f64 = 10_000.0;
+/// Time that a caller may take from connecting to its first message, ms: a slow round trip, or a turn of a busy machine.
+const FIRST_MESSAGE_MS: f64 = 25.0;
+
+/// A connection that brought a message at this time and has carried nothing since.
+fn idle(limiter: &ConnectionLimiter, at_ms: f64) -> Rc<ConnectionState> {
+    let state = limiter.register(at_ms);
+    limiter.message_received(&state, at_ms);
+    state
+}
+
+/// What happened: with all connections taken, one that had just been accepted was asked to close for the next in the backlog
+/// 1 ms later (`conn-ended reason=gave-way read=0 after_ms=1`), as it had not sent anything yet. Its first request then met a
+/// connection that was shut down, and was not answered.
+#[test]
+fn a_new_connection_has_time_to_bring_its_first_message() {
+    let limiter = ConnectionLimiter::new(1, MEMORY_MB);
+    let new = limiter.register(0.0);
+    assert_eq!(limiter.evict_one(1.0), Eviction::Deferred);
+    assert_eq!(limiter.evict_one(FIRST_MESSAGE_MS), Eviction::Deferred);
+    assert!(!new.is_eviction_requested());
+}
+
+/// Hundreds that connect and send nothing must neither stay nor push those out that callers use.
+#[test]
+fn one_that_stays_silent_is_evicted_before_one_that_was_used() {
+    let limiter = ConnectionLimiter::new(2, MEMORY_MB);
+    let used = idle(&limiter, 0.0);
+    let silent = limiter.register(LONG_IDLE_MS);
+    assert_eq!(limiter.evict_one(LONG_IDLE_MS), Eviction::Deferred);
+    assert_eq!(limiter.evict_one(LONG_IDLE_MS + 1000.0), Eviction::Requested);
+    assert!(silent.is_eviction_requested());
+    assert!(!used.is_eviction_requested());
+}
+
+/// A crowd of callers that reconnect at once is let in as fast as each sends its first message.
+#[test]
+fn the_first_message_of_a_new_connection_lets_an_idle_one_be_evicted() {
+    let limiter = ConnectionLimiter::new(2, MEMORY_MB);
+    let used = idle(&limiter, 0.0);
+    let new = limiter.register(LONG_IDLE_MS);
+    limiter.message_received(&new, LONG_IDLE_MS);
+    assert_eq!(limiter.evict_one(LONG_IDLE_MS), Eviction::Requested);
+    assert!(used.is_eviction_requested());
+    assert!(!new.is_eviction_requested());
+}
+
+#[test]
+fn one_in_use_is_not_evicted() {
+    let limiter = ConnectionLimiter::new(1, MEMORY_MB);
+    let used = idle(&limiter, 0.0);
+    used.request_in_flight.set(true);
+    assert_eq!(limiter.evict_one(LONG_IDLE_MS), Eviction::NoCandidate);
+}
--- a/tests/node_load.rs
+++ b/tests/node_load.rs
@@ -7,9 +7,9 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use scenario::{ENGINE_UP, Options, World, idle_gauges};
+use scenario::{ENGINE_UP, Options, World, idle_gauges, rpc_request};
 
 /// Keys of the writes at full load; each comes four times, from different clients.
 const KEYS: usize = 150;
@@ -212,6 +212,40 @@
     );
 }
 
+/// Connections that are in use, one below the limit.
+const ALL_BUT_ONE: usize = 191;
+/// Attempts of which one has to be undisturbed.
+const MAX_ATTEMPTS: usize = 20;
+/// Longest time from a connection to its first request in an attempt that counts: past it the machine is at fault.
+const MAX_CONNECT_TO_REQUEST: Duration = Duration::from_millis(25);
+
+/// What happened: with all connections taken, one that had just been accepted was closed within a millisecond for the next in
+/// the backlog, as it had not sent anything yet. The log said `conn-ended reason=gave-way read=0 after_ms=1`, and the request
+/// that came then got no answer.
+#[test]
+fn one_that_has_just_connected_may_send_its_request() {
+    let answered = (0..MAX_ATTEMPTS).find_map(|_| answer_to_one_that_just_connected());
+    assert_ne!(answered.expect("an attempt is undisturbed"), 0, "closed without an answer");
+}
+
+/// The length of the answer, 0 if the connection was closed without one; `None` if the machine disturbed the attempt.
+fn answer_to_one_that_just_connected() -> Option<usize> {
+    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
+    world.run(ENGINE_UP);
+    let in_use: String =
+        (1..=ALL_BUT_ONE).map(|n| format!("rpc{n} send 1 ping\nrpc{n} expect [1 1 nil *\n")).collect();
+    world.run(&in_use);
+    let connected = Instant::now();
+    let mut new = TcpStream::connect(world.listen).expect("the program listens");
+    let _next = TcpStream::connect(world.listen).expect("the backlog has capacity");
+    std::thread::sleep(Duration::from_millis(2));
+    new.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+    let sent = new.write_all(&rpc_request("1 ping"));
+    let is_disturbed = connected.elapsed() > MAX_CONNECT_TO_REQUEST;
+    let read = sent.and_then(|()| new.read(&mut [0; 64]));
+    (!is_disturbed).then(|| read.unwrap_or(0))
+}
+
 /// Routers close idle connections themselves: one that stays open for longer has no living owner.
 #[test]
 fn one_that_asked_once_and_stays_is_closed() {
