Send the successor each count of connections, so that both keep one limit

What callers saw: nothing yet; the platform counts the descriptors of both processes of an upgrade together and takes one over the limit for a crash. With a limit of 96, 40 connections at rest and 40 new ones, both held 119, 106 and 109 descriptors.

And the listener compared with the limit before it waited for a connection, not after.

Change: the core takes the count at each turn before it handles the other process's messages; the listener accepts only in the step in which it has looked at the limit. Why it holds: what the old process holds is sent before it yields, and nothing waits between the look and the accept.

--- a/src/server/core/handover/mod.rs
+++ b/src/server/core/handover/mod.rs
@@ -108,6 +108,9 @@
     /// Handles what the other processes have sent.
     pub fn handle_peer_events(&mut self, now_ms: f64) {
         self.now_ms = now_ms;
+        // A successor that is found or takes over now is sent the count before it accepts: with an older one it would
+        // fill descriptors that this process holds, and the platform kills both at the limit that they share.
+        self.update_connection_count();
         while let Some(event) = self.handover.as_ref().and_then(|handover| handover.dependencies.inbox.pop())
         {
             self.handle_peer_event(event);
@@ -161,9 +164,10 @@
         self.predecessor_event(predecessor::Event::DrainChanged(drained));
     }
 
-    /// Tells the successor how many connections this process holds, which count against the limit of both.
-    pub(super) fn send_connection_count(&mut self) {
-        if self.handover.as_ref().is_some_and(Handover::has_successor) {
+    /// Takes note of how many connections this process holds, which count against the limit of both: a successor is sent
+    /// each change, and one that comes later the latest count.
+    pub(super) fn update_connection_count(&mut self) {
+        if self.handover.is_some() {
             let open = u32::try_from(self.dependencies.open_sockets.connections()).unwrap_or(u32::MAX);
             self.predecessor_event(predecessor::Event::Connections(open));
         }
--- a/src/server/core/watchdog.rs
+++ b/src/server/core/watchdog.rs
@@ -38,7 +38,6 @@
         self.watchdog.last_check_ms = self.now_ms;
         self.fail_overdue_requests();
         self.close_idle_connections();
-        self.send_connection_count();
         if self.now_ms >= self.watchdog.last_key_expiry_ms + KEY_EXPIRY_INTERVAL_MS {
             self.watchdog.last_key_expiry_ms = self.now_ms;
             self.keys.remove_expired(self.now_ms);
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -88,16 +88,6 @@
     executor: Rc<LocalExecutor<'static>>,
 }
 
-/// What ends the wait for a connection.
-enum AcceptEvent {
-    /// A connection, or why there is none.
-    Accepted(io::Result<Async<TcpStream>>),
-    /// Accepting was switched off.
-    Paused,
-    /// The core has stopped accepting for good.
-    Stopped,
-}
-
 /// What ends the wait for capacity.
 enum CapacityEvent {
     /// A connection waits to be accepted, or the core has stopped accepting and those that wait have their last chance.
@@ -120,16 +110,16 @@
             return ControlFlow::Continue(());
         }
         self.log_wait_for_capacity();
-        match self.next_connection().await {
-            AcceptEvent::Paused => {}
-            AcceptEvent::Stopped => return ControlFlow::Break(()),
-            AcceptEvent::Accepted(Ok(stream)) => {
+        match self.accept_waiting() {
+            Ok(stream) => {
                 self.spawn(stream, serve);
                 // Each gets to read before another is asked to close.
                 future::yield_now().await;
             }
-            AcceptEvent::Accepted(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            AcceptEvent::Accepted(Err(error)) => {
+            // Only waits: when a connection comes, other connections may have taken the capacity that there is now.
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return self.next_connection().await,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => {
                 tracing::warn!(%error, "accept-failed");
                 self.context.clock.pause(FULL_RETRY_MS).await;
             }
@@ -137,6 +127,12 @@
         ControlFlow::Continue(())
     }
 
+    /// Accepts a connection that waits in the backlog.
+    fn accept_waiting(&self) -> io::Result<Async<TcpStream>> {
+        let (stream, _) = self.listener.socket.get_ref().accept()?;
+        Async::new(stream)
+    }
+
     /// Completes when accepting is switched on, or breaks when the core has stopped it for good.
     async fn resumed(&self) -> ControlFlow<()> {
         let resumed = async {
@@ -204,21 +200,25 @@
         future::or(connecting, future::or(changed, stopped)).await
     }
 
-    /// The next connection. Those in the backlog come before the end: dropped with the listener, they would be lost.
-    async fn next_connection(&self) -> AcceptEvent {
+    /// Completes when a connection waits in the backlog or accepting is paused; breaks when the core has stopped it for good
+    /// and none waits. Those in the backlog come before the end: dropped with the listener, they would be lost.
+    async fn next_connection(&self) -> ControlFlow<()> {
         let paused = async {
             self.context.status.accepting.wait_for(false).await;
-            AcceptEvent::Paused
+            ControlFlow::Continue(())
         };
-        let accepted = async {
-            let accepted = self.listener.socket.accept().await;
-            AcceptEvent::Accepted(accepted.map(|(stream, _)| stream))
+        let waiting = async {
+            if let Err(error) = self.listener.socket.readable().await {
+                tracing::warn!(%error, "accept-failed");
+                self.context.clock.pause(FULL_RETRY_MS).await;
+            }
+            ControlFlow::Continue(())
         };
         let stopped = async {
             self.context.status.stop_accepting.wait().await;
-            AcceptEvent::Stopped
+            ControlFlow::Break(())
         };
-        future::or(paused, future::or(accepted, stopped)).await
+        future::or(paused, future::or(waiting, stopped)).await
     }
 
     /// Registers a connection and has it served by a task of its own.
--- a/tests/upgrade/environment.rs
+++ b/tests/upgrade/environment.rs
@@ -1,6 +1,6 @@
 //! Take-overs with the service registry down, a reload meanwhile, and few descriptors.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
@@ -86,3 +86,33 @@
         assert_eq!(client.wait_for_ending(DEFAULT_TIMEOUT), Some(Ending::Closed));
     }
 }
+
+/// Descriptors that a process may hold, and all processes of a server together.
+const DESCRIPTOR_LIMIT: u32 = 96;
+
+/// What happened: descriptors of both processes count together, but the new process took the old one's connections for none
+/// until their number was next reported, and accepted a full share itself: 119 descriptors where 96 are allowed.
+#[test]
+fn descriptors_of_both_processes_stay_within_the_limit() {
+    let deployment = deployment_of(Setup { sockets: DESCRIPTOR_LIMIT, ..setup() });
+    let old = start_ready(&deployment, quick_engine());
+    let resting: Vec<Client> = (0..40).map(|_| connect(&deployment)).collect();
+    for client in &resting {
+        assert_served(client, &Request::read("resting"));
+    }
+    std::thread::sleep(SETTLE);
+    let new = take_over(&deployment);
+    let _arriving: Vec<Client> = (0..40).map(|_| connect(&deployment)).collect();
+    let until = Instant::now() + SILENCE_PERIOD;
+    while Instant::now() < until {
+        let (of_old, of_new) = (open_descriptors(&old), open_descriptors(&new));
+        assert!(of_old + of_new <= DESCRIPTOR_LIMIT as usize, "{of_old} and {of_new}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Descriptors that a process holds.
+fn open_descriptors(process: &Process) -> usize {
+    let id = i32::try_from(process.id()).expect("a process id");
+    procfs::process::Process::new(id).and_then(|process| process.fd_count()).expect("it lives")
+}
