Let the old process of an upgrade give up idle connections for the new one

Cause, from the log: the new process had accept-delayed waited_ms=1999, the old one ended its 20 connections at rest 2.0 s after leaving-handed-over (1 s of go-away timeout, 1 s of lingering close). Both count against one limit, but only the new process accepts, and it can evict its own connections alone; the old one did not learn that capacity was needed.

Change: while the successor serves, the old process watches the listening socket that both hold. A go-away notification no longer counts as use when one is chosen.

--- a/crates/pinepoint-handover/src/predecessor.rs
+++ b/crates/pinepoint-handover/src/predecessor.rs
@@ -96,6 +96,8 @@
 pub struct Predecessor {
     rules: Rules,
     phase: Phase,
+    /// The successor has asked for the ownership: it is ready, and serves once it has it.
+    successor_serves: bool,
     is_leaving: bool,
     listeners: Vec<String>,
     digest_key: [u8; 16],
@@ -113,6 +115,7 @@
             listeners: _,
             digest_key: _,
             phase,
+            successor_serves,
             is_leaving,
             drained,
             connections,
@@ -121,6 +124,7 @@
         } = self;
         f.debug_struct("Predecessor")
             .field("phase", phase)
+            .field("successor_serves", successor_serves)
             .field("leaving", is_leaving)
             .field("drained", drained)
             .field("connections", connections)
@@ -136,6 +140,7 @@
         Predecessor {
             rules,
             phase: Phase::NoSuccessor,
+            successor_serves: false,
             is_leaving: false,
             listeners,
             digest_key,
@@ -151,6 +156,11 @@
         self.phase
     }
 
+    /// Whether a successor accepts connections in place of this process.
+    pub fn successor_serves(&self) -> bool {
+        self.successor_serves
+    }
+
     /// Raises the longest deduplication window of all classes to this, ms. It is never lowered: earlier keys keep their windows.
     pub fn set_longest_window(&mut self, window_ms: f64) {
         self.rules.longest_window_ms = self.rules.longest_window_ms.max(window_ms);
@@ -241,11 +251,13 @@
             // From a successor that was dropped.
             (Phase::NoSuccessor, _) => {}
             (Phase::Streaming, Message::TakeOver) => {
+                self.successor_serves = true;
                 actions.push(Action::StopAccepting);
                 self.yield_ownership(actions);
             }
             // It crossed the unrequested `Yielded` of a terminating process: the successor serves from now on.
             (Phase::Yielded, Message::TakeOver) if self.is_leaving => {
+                self.successor_serves = true;
                 actions.push(Action::Leave { handed_over: true });
             }
             (Phase::Yielded, Message::ClaimAnswer { id, granted }) => {
@@ -267,6 +279,7 @@
     fn peer_lost(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
         let had_yielded = self.phase == Phase::Yielded;
         self.phase = Phase::NoSuccessor;
+        self.successor_serves = false;
         for (id, claim) in std::mem::take(&mut self.claims) {
             if !claim.denied {
                 actions.push(Action::Deny(id, Denial::PeerLost));
--- a/crates/pinepoint-handover/tests/transitions.rs
+++ b/crates/pinepoint-handover/tests/transitions.rs
@@ -383,6 +383,18 @@
     assert!(!pair.old_said.contains(&Old::ResumeAccepting));
 }
 
+/// While it serves, connections that wait in the backlog are its business, and the old one only makes room for them.
+#[test]
+fn the_new_serves_from_its_take_over_until_it_is_lost() {
+    let mut pair = Pair::imported(&[]);
+    assert!(!pair.old.successor_serves());
+    pair.tell_new(successor::Event::EngineUp);
+    pair.deliver();
+    assert!(pair.old.successor_serves());
+    pair.lose_new();
+    assert!(!pair.old.successor_serves());
+}
+
 // ---- SIGTERM ----
 
 #[test]
@@ -403,8 +415,10 @@
     let mut pair = Pair::imported(&[]);
     pair.tell_old(predecessor::Event::Terminate);
     pair.deliver();
+    assert!(!pair.old.successor_serves(), "it owns the keys, and accepts nothing yet");
     pair.tell_new(successor::Event::EngineUp);
     pair.deliver();
+    assert!(pair.old.successor_serves());
     assert!(pair.new.is_serving());
     assert_eq!(pair.old_said.last(), Some(&Old::Leave { handed_over: true }));
 }
--- a/src/server/control/status.rs
+++ b/src/server/control/status.rs
@@ -27,6 +27,8 @@
     pub registry_wakeup: Notify,
     /// Connections are accepted. Off while another process accepts on the shared listening sockets.
     pub accepting: Flag,
+    /// Another process accepts in place of this one, on the shared listening sockets.
+    pub successor_serves: Flag,
     /// Opens when the listeners have to close, once their backlog is accepted.
     pub stop_accepting: Latch,
     /// Opens when everything that was read is answered and nothing more is read: the process is about to end.
@@ -45,6 +47,7 @@
             registered: Cell::default(),
             registry_wakeup: Notify::default(),
             accepting: Flag::new(true),
+            successor_serves: Flag::new(false),
             stop_accepting: Latch::default(),
             finishing: Latch::default(),
         }
--- a/src/server/core/handover/mod.rs
+++ b/src/server/core/handover/mod.rs
@@ -238,6 +238,7 @@
         let before = machine.phase();
         machine.handle(self.now_ms, event, &mut actions);
         let phase = machine.phase();
+        self.dependencies.status.successor_serves.set(machine.successor_serves());
         if before != phase {
             tracing::info!(?phase, "handing-over");
         }
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -17,6 +17,15 @@
 /// Least interval of the checks whether a connection is due to close, ms: whatever the settings say, none may spin.
 const MIN_CHECK_INTERVAL_MS: f64 = 5.0;
 
+/// The notification that no new request should come.
+#[derive(Clone, Copy, Debug)]
+struct GoAway {
+    /// When it was sent, or decided where the protocol has none, Unix ms.
+    sent_ms: f64,
+    /// Idle time after which the connection is closed from here, ms.
+    timeout_ms: f64,
+}
+
 /// The state of one connection, shared by the tasks that serve it and by the limiter.
 #[derive(Debug)]
 pub struct ConnectionState {
@@ -26,7 +35,7 @@
     pub requests_read: Cell<u64>,
     /// Requests that were answered.
     pub requests_answered: Cell<u64>,
-    /// When it last carried a complete message, Unix ms.
+    /// When it last carried a complete message of the caller or an answer, Unix ms.
     pub last_active_ms: Cell<f64>,
     /// It has brought a complete message.
     pub received_message: Cell<bool>,
@@ -34,8 +43,8 @@
     pub request_in_flight: Cell<bool>,
     /// A part of a message has come, and the rest has not.
     pub partial_message: Cell<bool>,
-    /// No new request should come on it: it is closed from here when it has been idle for so long, ms.
-    go_away_timeout_ms: Cell<Option<f64>>,
+    /// No new request should come on it.
+    go_away: Cell<Option<GoAway>>,
     /// It was asked to close for another connection.
     eviction_requested: Cell<bool>,
     /// Its writing half is shut down; it only waits for the other side to close.
@@ -54,7 +63,7 @@
             received_message: Cell::new(false),
             request_in_flight: Cell::new(false),
             partial_message: Cell::new(false),
-            go_away_timeout_ms: Cell::new(None),
+            go_away: Cell::new(None),
             eviction_requested: Cell::new(false),
             lingering: Cell::new(false),
             changed: Notify::default(),
@@ -82,7 +91,7 @@
 
     /// Whether no new request should come on it.
     pub fn is_going_away(&self) -> bool {
-        self.go_away_timeout_ms.get().is_some()
+        self.go_away.get().is_some()
     }
 
     /// Notes that the other side is notified that no new request should come; tells whether that is new. It has a while to
@@ -100,15 +109,20 @@
         if self.is_going_away() {
             return false;
         }
-        self.go_away_timeout_ms.set(Some(timeout_ms));
-        self.last_active_ms.set(now);
+        self.go_away.set(Some(GoAway { sent_ms: now, timeout_ms }));
         self.changed.wake();
         true
     }
 
     /// Whether nothing was carried since this time, Unix ms, and nothing is in flight.
     pub fn is_idle_since(&self, since_ms: f64) -> bool {
-        self.last_active_ms.get() < since_ms && !self.request_in_flight.get()
+        self.timeout_start_ms() < since_ms && !self.request_in_flight.get()
+    }
+
+    /// From when its idle timeout counts, Unix ms: the last message, or the go-away notification that came after it.
+    fn timeout_start_ms(&self) -> f64 {
+        let go_away_ms = self.go_away.get().map_or(f64::NEG_INFINITY, |go_away| go_away.sent_ms);
+        self.last_active_ms.get().max(go_away_ms)
     }
 
     /// Notes that its writing half is shut down.
@@ -151,7 +165,7 @@
         loop {
             let (timeout_ms, reason) = self.idle_timeout(caller_idle_timeout_ms);
             let now = clock.now();
-            let due_ms = self.last_active_ms.get() + timeout_ms;
+            let due_ms = self.timeout_start_ms() + timeout_ms;
             if !self.request_in_flight.get() {
                 if self.eviction_requested.get() {
                     return "gave-way";
@@ -168,9 +182,9 @@
 
     /// The idle time after which it should close, ms, and the reason code of that.
     fn idle_timeout(&self, caller_idle_timeout_ms: f64) -> (f64, &'static str) {
-        match (self.received_message.get(), self.go_away_timeout_ms.get()) {
+        match (self.received_message.get(), self.go_away.get()) {
             (false, _) => (MESSAGE_TIMEOUT_MS, "silent"),
-            (true, Some(timeout_ms)) => (timeout_ms, "told-to-go"),
+            (true, Some(go_away)) => (go_away.timeout_ms, "told-to-go"),
             (true, None) => (caller_idle_timeout_ms, "idle"),
         }
     }
--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -173,7 +173,8 @@
     is_silent && now < state.last_active_ms.get() + NEW_CONNECTION_GRACE_MS
 }
 
-/// Whether a connection that has brought a message has been idle for long enough to be evicted.
+/// Whether a connection that has brought a message has been idle for long enough to be evicted. A go-away notification
+/// does not count as use: what was idle before it may be evicted at once, as without it.
 fn is_evictable(state: &ConnectionState, now: f64) -> bool {
     !state.request_in_flight.get() && now >= state.last_active_ms.get() + MIN_IDLE_BEFORE_EVICTION_MS
 }
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -18,6 +18,7 @@
 use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
 use crate::server::frontend::limiter::{ConnectionLimiter, ConnectionUsage, Eviction, ListenerGuard};
+use crate::server::frontend::shared_backlog::{EvictionPace, yield_capacity};
 use crate::server::observability::counters::count;
 
 /// Wait before the next attempt where there is no capacity or no free descriptor, ms.
@@ -72,6 +73,7 @@
     let acceptor =
         Acceptor { frontend, listener, max_connections, open_connections, full_since_ms, context, executor };
     while acceptor.step(&serve).await.is_continue() {}
+    acceptor.close().await;
 }
 
 /// Accepts the connections of one listening socket.
@@ -133,7 +135,8 @@
         Async::new(stream)
     }
 
-    /// Completes when accepting is switched on, or breaks when the core has stopped it for good.
+    /// Completes when accepting is switched on, or breaks when the core has stopped it for good. Meanwhile a successor may
+    /// accept on the same socket, and be out of capacity that this process holds.
     async fn resumed(&self) -> ControlFlow<()> {
         let resumed = async {
             self.context.status.accepting.wait_for(true).await;
@@ -143,7 +146,26 @@
             self.context.status.stop_accepting.wait().await;
             ControlFlow::Break(())
         };
-        future::or(resumed, stopped).await
+        let yielding = async {
+            loop {
+                self.context.status.successor_serves.wait_for(true).await;
+                yield_capacity(&self.listener.socket, &self.context, EvictionPace::Serving).await;
+            }
+        };
+        future::or(resumed, future::or(stopped, yielding)).await
+    }
+
+    /// Closes the listening socket. Where a successor accepts on it, it stays open uncounted as long as that lasts: it is the
+    /// successor's now, and shows whether connections wait for capacity that this process holds.
+    async fn close(self) {
+        let Listener { socket, _open: open } = self.listener;
+        if self.context.status.successor_serves.is_on() {
+            drop(open);
+            yield_capacity(&socket, &self.context, EvictionPace::Leaving).await;
+        } else {
+            drop(socket);
+            drop(open);
+        }
     }
 
     fn is_full(&self) -> bool {
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -61,3 +61,14 @@
     used.request_in_flight.set(true);
     assert_eq!(limiter.evict_one(LONG_IDLE_MS), Eviction::NoCandidate);
 }
+
+/// A process that hands over tells all callers to go and then needs descriptors for its successor at once.
+#[test]
+fn a_go_away_notification_does_not_keep_an_idle_connection_from_eviction() {
+    let limiter = ConnectionLimiter::new(1, MEMORY_MB);
+    let idle = idle(&limiter, 0.0);
+    assert!(idle.mark_go_away_sent(LONG_IDLE_MS));
+    assert!(!idle.is_idle_since(LONG_IDLE_MS), "its timeout counts from the notification");
+    assert_eq!(limiter.evict_one(LONG_IDLE_MS), Eviction::Requested);
+    assert!(idle.is_eviction_requested());
+}
