Evict an idle AJP connection where the limit of AJP is reached

What callers saw: a web server's connection beyond the limit of AJP waited in the backlog for as long as the others stayed open, which without an idle time in the settings is for good; the test waited 20 s.

Cause: the listener evicted a connection only where the limit of all protocols was reached.

Change: where one protocol's limit is reached, a connection of that protocol is evicted by the same rules; a connection knows its protocol for that. Why it holds: whichever limit stops the listener, idle connections under that limit give way.

--- a/src/bin/pinepoint/process.rs
+++ b/src/bin/pinepoint/process.rs
@@ -22,7 +22,7 @@
 use pinepoint::server::observability::telemetry::{self, TelemetryContext};
 use pinepoint::server::upstream::{self, EngineLink, StoreLink, UpstreamAddresses};
 use pinepoint_clock::Clock;
-use pinepoint_events::{NoopObserver, Observer};
+use pinepoint_events::{NoopObserver, Observer, Protocol};
 use pinepoint_membership::io::{Dependencies, MembershipService};
 use pinepoint_telemetry::Telemetry;
 
@@ -210,7 +210,8 @@
         let serve = move |stream, state| ajp::serve(stream, state, context.clone(), options.clone());
         let listener = Listener::new(bound.listener, &frontend.limiter);
         let executor = self.executor.clone();
-        let listen = listener::listen("ajp", listener, max_connections, frontend.clone(), executor, serve);
+        let listen =
+            listener::listen(Protocol::Ajp, listener, max_connections, frontend.clone(), executor, serve);
         self.executor.spawn(listen).detach();
     }
 
@@ -225,7 +226,8 @@
         let serve = move |stream, state| rpc::serve(stream, state, context.clone());
         let listener = Listener::new(bound.listener, &frontend.limiter);
         let executor = self.executor.clone();
-        let listen = listener::listen("rpc", listener, max_connections, frontend.clone(), executor, serve);
+        let listen =
+            listener::listen(Protocol::Rpc, listener, max_connections, frontend.clone(), executor, serve);
         self.executor.spawn(listen).detach();
     }
 
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::future;
 use pinepoint_clock::Clock;
+use pinepoint_events::Protocol;
 
 use crate::server::sync::Notify;
 
@@ -31,6 +32,8 @@
 pub struct ConnectionState {
     /// Number of the connection, unique over all frontends.
     pub id: u64,
+    /// The protocol that is spoken on it.
+    pub protocol: Protocol,
     /// Requests and health checks that were read.
     pub requests_read: Cell<u64>,
     /// Requests that were answered.
@@ -54,9 +57,10 @@
 
 impl ConnectionState {
     /// A connection that was accepted at `now`, Unix ms.
-    pub fn new(id: u64, now: f64) -> Self {
+    pub fn new(id: u64, protocol: Protocol, now: f64) -> Self {
         ConnectionState {
             id,
+            protocol,
             requests_read: Cell::new(0),
             requests_answered: Cell::new(0),
             last_active_ms: Cell::new(now),
--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use pinepoint_events::Protocol;
+
 use crate::server::core::api::OpenSockets;
 use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::sync::Notify;
@@ -30,6 +32,24 @@
     pub limit: usize,
 }
 
+/// The connections of which one is evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvictionScope {
+    /// Those of all protocols: the limit of the process is reached.
+    Process,
+    /// Those of one protocol, whose own limit is reached.
+    Protocol(Protocol),
+}
+
+impl EvictionScope {
+    fn covers(self, state: &ConnectionState) -> bool {
+        match self {
+            EvictionScope::Process => true,
+            EvictionScope::Protocol(protocol) => state.protocol == protocol,
+        }
+    }
+}
+
 /// What came of the search for a connection to evict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eviction {
@@ -86,10 +106,10 @@
     }
 
     /// Adds a connection that was accepted at `now`, Unix ms.
-    pub fn register(&self, now: f64) -> Rc<ConnectionState> {
+    pub fn register(&self, protocol: Protocol, now: f64) -> Rc<ConnectionState> {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
-        let state = Rc::new(ConnectionState::new(id, now));
+        let state = Rc::new(ConnectionState::new(id, protocol, now));
         self.connections.borrow_mut().insert(id, state.clone());
         state
     }
@@ -144,12 +164,14 @@
         self.queued_bytes.get() > max_bytes && backlog * self.connections.borrow().len() > max_bytes
     }
 
-    /// Asks one connection to close that was not asked yet: one that only waits for its other side to close, the oldest that
-    /// has brought no message, or else the one that was idle longest. Without it hundreds that send nothing, or that
-    /// send one request and stay, would shut all routers out.
-    pub fn evict_one(&self, now: f64) -> Eviction {
+    /// Asks one connection to close that was not asked yet, among those of one protocol or of all: one that only waits for
+    /// its other side to close, the oldest that has brought no message, or else the one that was idle longest. Without it
+    /// hundreds that send nothing, or that send one request and stay, would shut all routers out.
+    pub fn evict_one(&self, among: EvictionScope, now: f64) -> Eviction {
         let connections = self.connections.borrow();
-        let candidates = || connections.values().filter(|state| !state.is_eviction_requested());
+        let is_candidate =
+            |state: &&Rc<ConnectionState>| among.covers(state) && !state.is_eviction_requested();
+        let candidates = || connections.values().filter(is_candidate);
         let lingering = || candidates().find(|state| state.is_lingering());
         let silent = || candidates().find(|state| !state.received_message.get());
         let longest_idle = || {
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -11,13 +11,15 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future;
-use pinepoint_events::{ProcessEvent, ResourceLimit};
+use pinepoint_events::{ProcessEvent, Protocol, ReasonCode, ResourceLimit};
 use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
 
 use crate::server::core::api::CoreInput;
 use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
-use crate::server::frontend::limiter::{ConnectionLimiter, ConnectionUsage, Eviction, ListenerGuard};
+use crate::server::frontend::limiter::{
+    ConnectionLimiter, ConnectionUsage, Eviction, EvictionScope, ListenerGuard,
+};
 use crate::server::frontend::shared_backlog::{EvictionPace, yield_capacity};
 use crate::server::observability::counters::count;
 
@@ -56,9 +58,9 @@
 }
 
 /// Accepts connections until the core stops it and none waits to be accepted. `serve` has each, of `max_connections` at a
-/// time, and returns the reason code of its end. `frontend` names the frontend in the log.
+/// time, and returns the reason code of its end.
 pub async fn listen<F: Future<Output = &'static str> + 'static>(
-    frontend: &'static str,
+    protocol: Protocol,
     listener: Listener,
     max_connections: usize,
     context: Rc<FrontendContext>,
@@ -71,15 +73,15 @@
     let open_connections = Rc::new(Cell::new(0));
     let full_since_ms = Cell::new(None);
     let acceptor =
-        Acceptor { frontend, listener, max_connections, open_connections, full_since_ms, context, executor };
+        Acceptor { protocol, listener, max_connections, open_connections, full_since_ms, context, executor };
     while acceptor.step(&serve).await.is_continue() {}
     acceptor.close().await;
 }
 
 /// Accepts the connections of one listening socket.
 struct Acceptor {
-    /// The frontend's name in the log.
-    frontend: &'static str,
+    /// The protocol of its connections.
+    protocol: Protocol,
     listener: Listener,
     max_connections: usize,
     /// Connections that were accepted here and are not closed.
@@ -181,11 +183,14 @@
             return;
         }
         self.full_since_ms.set(self.full_since_ms.get().or(Some(clock.now())));
-        let mut eviction = Eviction::NoCandidate;
-        if limiter.is_full() {
-            eviction = limiter.evict_one(clock.now());
+        let eviction = if limiter.is_full() {
             observer.process_event(clock.now(), ProcessEvent::LimitReached(ResourceLimit::Connections));
-        }
+            limiter.evict_one(EvictionScope::Process, clock.now())
+        } else if self.is_full() {
+            limiter.evict_one(EvictionScope::Protocol(self.protocol), clock.now())
+        } else {
+            return;
+        };
         let changed = future::or(limiter.capacity_change(), clock.pause(FULL_RETRY_MS));
         match eviction {
             Eviction::Deferred => future::or(limiter.first_message(), changed).await,
@@ -200,7 +205,7 @@
         let waited_ms = (self.context.clock.now() - since_ms).round();
         if waited_ms >= LOGGED_WAIT_MS {
             let ConnectionUsage { own, peer, limit } = self.context.limiter.usage();
-            tracing::info!(front = self.frontend, waited_ms, own, peer, limit, "accept-delayed");
+            tracing::info!(front = self.protocol.code(), waited_ms, own, peer, limit, "accept-delayed");
         }
     }
 
@@ -252,10 +257,9 @@
         let _ = stream.get_ref().set_nodelay(true);
         count(&self.context.counters.connections);
         let accepted_ms = self.context.clock.now();
-        let state = self.context.limiter.register(accepted_ms);
+        let state = self.context.limiter.register(self.protocol, accepted_ms);
         self.open_connections.set(self.open_connections.get() + 1);
         let connection = AcceptedConnection {
-            frontend: self.frontend,
             accepted_ms,
             served: serve(Rc::new(stream), state.clone()),
             state,
@@ -268,8 +272,6 @@
 
 /// A connection from its registration to the notice of its end.
 struct AcceptedConnection<F> {
-    /// The frontend's name in the log.
-    frontend: &'static str,
     /// Unix ms.
     accepted_ms: f64,
     /// Serves the connection, and owns its socket.
@@ -281,7 +283,7 @@
 
 impl<F: Future<Output = &'static str>> AcceptedConnection<F> {
     async fn run(self) {
-        let AcceptedConnection { frontend, accepted_ms, served, state, open_connections, context } = self;
+        let AcceptedConnection { accepted_ms, served, state, open_connections, context } = self;
         // The socket is closed with it.
         let reason = served.await;
         context.limiter.unregister(state.id);
@@ -289,7 +291,7 @@
         count(&context.counters.connections_ended);
         tracing::info!(
             conn = state.id,
-            front = frontend,
+            front = state.protocol.code(),
             reason,
             read = state.requests_read.get(),
             answered = state.requests_answered.get(),
--- a/src/server/frontend/shared_backlog.rs
+++ b/src/server/frontend/shared_backlog.rs
@@ -9,7 +9,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::server::frontend::context::FrontendContext;
-use crate::server::frontend::limiter::Eviction;
+use crate::server::frontend::limiter::{Eviction, EvictionScope};
 
 /// Time in which a successor with capacity accepts what is in the backlog, ms.
 const ACCEPT_TIME_MS: f64 = 20.0;
@@ -44,7 +44,8 @@
     let (mut evicted, mut round_size) = (0, 1);
     while has_waiting_connection(listener) {
         let now_ms = context.clock.now();
-        let evict = |_: &usize| context.limiter.evict_one(now_ms) == Eviction::Requested;
+        let evict =
+            |_: &usize| context.limiter.evict_one(EvictionScope::Process, now_ms) == Eviction::Requested;
         evicted += (0..round_size).filter(evict).count();
         round_size = (round_size * 2).min(pace as usize);
         context.clock.pause(ROUND_MS).await;
--- a/tests/node_load.rs
+++ b/tests/node_load.rs
@@ -246,6 +246,29 @@
     (!is_disturbed).then(|| read.unwrap_or(0))
 }
 
+/// AJP connections that may be open: a quarter of those that 256 descriptors leave to clients.
+const AJP_CONNECTIONS: usize = 48;
+
+/// What happened: web servers keep their connections, and with all those of AJP idle a further one was never let in, as a
+/// connection was only closed for another when the limit of all protocols was reached.
+#[test]
+fn an_idle_ajp_connection_gives_way_to_a_new_one() {
+    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
+    world.run(ENGINE_UP);
+    world.run("rpc send 1 ping\nrpc expect [1 1 nil *");
+    let script: String =
+        (1..=AJP_CONNECTIONS).map(|n| format!("ajp{n} send ping\najp{n} expect cpong\n")).collect();
+    world.run(&script);
+    world.run(
+        "ajp_new send ping
+         ajp_new expect cpong
+         ajp1 expect closed
+         node wait conn-ended conn=* front=ajp reason=gave-way *
+         rpc send 2 ping
+         rpc expect [1 2 nil *",
+    );
+}
+
 /// Routers close idle connections themselves: one that stays open for longer has no living owner.
 #[test]
 fn one_that_asked_once_and_stays_is_closed() {
