--- a/src/admission/call_budget.rs
+++ b/src/admission/call_budget.rs
@@ -26,7 +26,7 @@
 const MAX_BACKOFF_DOUBLINGS: f64 = 10.0;
 /// Call timeout as a multiple of the expected duration. A reply that was lost never comes: if it were waited
 /// for until the deadline, its call would be paid for out of the quota of others, and everything that needs
-/// calls would pile up behind it. Over a slow dependency 8 times did worse.
+/// calls would pile up behind it.
 const TIMEOUT_DURATIONS: f64 = 20.0;
 /// Least call timeout, ms.
 const MIN_TIMEOUT_MS: f64 = 250.0;
--- a/src/admission/health.rs
+++ b/src/admission/health.rs
@@ -14,8 +14,7 @@
 /// whole fleet, servers would leave and return in floods.
 const SLOW_SERVER: f64 = 2.0;
 /// Tasks that want each core from which the health check fails. Runs and reading make two; the rest are new
-/// connections, which their callers abandon before they are made, so that no one is read. From 5 to 8 the
-/// results were alike; 3 did worse.
+/// connections, which their callers abandon before they are made, so that no one is read.
 const UNHEALTHY_TASKS_PER_CORE: f64 = 6.0;
 
 /// What one timer measured about the ability to serve.
--- a/src/admission/idle_policy.rs
+++ b/src/admission/idle_policy.rs
@@ -9,7 +9,7 @@
 
 /// Idle timeout while few arrivals are rejected, ms. With hundreds of callers each comes back after minutes
 /// only: the connections they leave open fill the table, cost core time and keep others out. A caller that
-/// comes again within this time saves its handshake. 5 to 8 s made no difference; 2.5 and 14 s did worse.
+/// comes again within this time saves its handshake.
 const IDLE_TIMEOUT_MS: f64 = 6000.0;
 /// Share of rejected arrivals from which idle connections are kept longer, 0 to 1.
 const KEEP_LONGER_FROM: f64 = 0.3;
