Count the start of a process as progress in the stall detector

What callers saw: where a run that began in the first 20 ms of a process was not over at the first sample, everything was rejected as hung and health failed until a run ended, some 2 s on a cold machine.

Cause: the last progress was 0 at the start, which in Unix ms is 1970; only a sample without runs moved it.

Change: the start of the controller counts as progress. Why it holds: no run can have made progress earlier, so the patience counts from where it should; runs that never end from the start on are still found, by a test beside.

Measured: failures::stalled, with the settings of two kinds of deployment, fails in both cases before and passes after.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -252,6 +252,8 @@
         self.started_ms = now_ms;
         self.core_time.start(now_ms);
         self.calls.start(now_ms);
+        // No run can have made progress before: one that runs at the first sample would count as stalled.
+        self.stall.record_progress(now_ms);
         actions.push(Action::SetHealth { healthy: true, from_store: true });
         self.close_idle_connections(0.0, actions);
         self.set_timer(actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,9 +45,14 @@
 
 impl TestServer {
     pub fn new(settings: Settings) -> Self {
+        TestServer::started_at(settings, 0.0)
+    }
+
+    /// One that starts at this time, ms.
+    pub fn started_at(settings: Settings, now: f64) -> Self {
         let mut server = TestServer {
             controller: AdmissionController::new(settings, 1).expect("sound settings"),
-            now: 0.0,
+            now,
             log: vec![],
             timers: vec![],
         };
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -10,3 +10,4 @@
 mod feedback;
 mod limits;
 mod priority;
+mod stalled;
