Spare eight new connections at a time, and let idle ones give way before them

What callers saw: nothing that landed; spared every new connection for 50 ms, and no idle one gave way meanwhile.

Cause: with all connections taken, one silent connection held the listener up until its 50 ms were over, 20 a second, while 2,304 that had asked once and stayed were idle.

Change: eight new connections are spared at a time, and one that was idle for 500 ms gives way before them; beyond eight the oldest is evicted as before. Why it holds: a new caller still has its 50 ms, and neither the listener nor the idle wait for a crowd.

--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -19,6 +19,9 @@
 /// Time in which a new connection is not evicted though it has brought no message, ms: a caller connects to send something.
 /// Without it, where all connections are taken, each new one would be closed for the next before its request can come.
 const NEW_CONNECTION_GRACE_MS: f64 = 50.0;
+/// New connections without a message that are spared at a time. A crowd that sends nothing pushes out so many of those that
+/// callers use, and beyond that only itself.
+const MAX_SPARED_CONNECTIONS: usize = 8;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// What counts against the limit on connections.
@@ -55,7 +58,7 @@
 pub enum Eviction {
     /// One was asked to close.
     Requested,
-    /// None was: the next in line is so new that its first message may be under way.
+    /// None was: one might be soon, but is so new that its first message may be under way.
     Deferred,
     /// None may be evicted.
     NoCandidate,
@@ -165,34 +168,41 @@
     }
 
     /// Asks one connection to close that was not asked yet, among those of one protocol or of all: one that only waits for
-    /// its other side to close, the oldest that has brought no message, or else the one that was idle longest. Without it
-    /// hundreds that send nothing, or that send one request and stay, would shut all routers out.
+    /// its other side to close, the oldest that has brought no message for a while or with many others, or else the one
+    /// that was idle longest. Without it hundreds that send nothing, or that send one request and stay, would shut all routers out.
     pub fn evict_one(&self, among: EvictionScope, now: f64) -> Eviction {
         let connections = self.connections.borrow();
         let is_candidate =
             |state: &&Rc<ConnectionState>| among.covers(state) && !state.is_eviction_requested();
         let candidates = || connections.values().filter(is_candidate);
         let lingering = || candidates().find(|state| state.is_lingering());
-        let silent = || candidates().find(|state| !state.received_message.get());
+        let silent = || candidates().filter(|state| is_silent(state));
+        let spared = silent().filter(|state| is_new(state, now)).count();
+        let overdue =
+            || silent().next().filter(|state| !is_new(state, now) || spared > MAX_SPARED_CONNECTIONS);
         let longest_idle = || {
             let idle = candidates().filter(|state| is_evictable(state, now));
             idle.min_by(|a, b| a.last_active_ms.get().total_cmp(&b.last_active_ms.get()))
         };
-        match lingering().or_else(silent).or_else(longest_idle) {
-            None => Eviction::NoCandidate,
-            Some(state) if is_new(state, now) => Eviction::Deferred,
+        match lingering().or_else(overdue).or_else(longest_idle) {
             Some(state) => {
                 state.request_eviction();
                 Eviction::Requested
             }
+            None if spared > 0 => Eviction::Deferred,
+            None => Eviction::NoCandidate,
         }
     }
 }
 
-/// Whether a connection has brought no message and is so new that one may be under way.
+/// Whether a connection has brought no message, and is not over.
+fn is_silent(state: &ConnectionState) -> bool {
+    !state.received_message.get() && !state.is_lingering()
+}
+
+/// Whether a connection that has brought no message is so new that one may be under way.
 fn is_new(state: &ConnectionState, now: f64) -> bool {
-    let is_silent = !state.received_message.get() && !state.is_lingering();
-    is_silent && now < state.last_active_ms.get() + NEW_CONNECTION_GRACE_MS
+    now < state.last_active_ms.get() + NEW_CONNECTION_GRACE_MS
 }
 
 /// Whether a connection that has brought a message has been idle for long enough to be evicted. A go-away notification
