Untie the lab's router connection from the router pool

routers/connection.rs and routers/pool.rs imported each other: the connection's task took the pool. The task is the pool's now, and a connection knows no pool.

--- a/crates/pinepoint-lab/src/routers.rs
+++ b/crates/pinepoint-lab/src/routers.rs
@@ -16,7 +16,6 @@
 
 use async_executor::LocalExecutor;
 
-use connection::maintain_connection;
 use pool::{Path, RouterPool};
 use service_level::ServiceLevels;
 
@@ -154,7 +153,7 @@
     for router in 0..routers {
         for (member, address) in addresses.iter().enumerate() {
             let path = Path { router, member };
-            executor.spawn(maintain_connection(pool.clone(), path, *address)).detach();
+            executor.spawn(pool.clone().maintain_connection(path, *address)).detach();
         }
     }
     async_io::block_on(executor.run(pool.generate_requests(rate, executor.clone())));
--- a/crates/pinepoint-lab/src/routers/connection.rs
+++ b/crates/pinepoint-lab/src/routers/connection.rs
@@ -2,15 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender, bounded};
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
-use super::pool::{Path, RouterPool};
 use crate::load::{Incoming, Outcome, Request, take_incoming};
 
 /// Requests that may be in flight on one connection.
@@ -36,13 +35,16 @@
 }
 
 impl Connection {
-    fn new(stream: Async<TcpStream>) -> Connection {
-        Connection {
+    /// Connects to a member.
+    pub(super) async fn connect(address: SocketAddr) -> io::Result<Connection> {
+        let stream = Async::<TcpStream>::connect(address).await?;
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Connection {
             stream,
             pending: RefCell::default(),
             last_id: Cell::new(0),
             is_draining: Cell::new(false),
-        }
+        })
     }
 
     /// Whether a request may be sent on it now.
@@ -67,7 +69,7 @@
     }
 
     /// Reads what comes until the connection ends, or nothing is in flight on one that is draining.
-    async fn read_messages(&self, on_unexpected_answer: impl Fn()) {
+    pub(super) async fn read_messages(&self, on_unexpected_answer: impl Fn()) {
         let (mut input, mut chunk) = (Vec::new(), vec![0; READ_BYTES]);
         loop {
             match (&self.stream).read(&mut chunk).await {
@@ -91,24 +93,10 @@
         }
     }
 
-    fn fail_pending(&self) {
+    /// Tells all that wait for an answer that the connection is lost.
+    pub(super) fn fail_pending(&self) {
         for (_, waiting) in self.pending.take() {
             let _ = waiting.try_send(Err(ConnectionLost));
         }
     }
 }
-
-/// Keeps a connection of one router to one member open, and reads what comes.
-pub(super) async fn maintain_connection(pool: Rc<RouterPool>, path: Path, address: SocketAddr) {
-    loop {
-        if let Ok(stream) = Async::<TcpStream>::connect(address).await {
-            let _ = stream.get_ref().set_nodelay(true);
-            let connection = Rc::new(Connection::new(stream));
-            pool.set_connection(path, Some(connection.clone()));
-            connection.read_messages(|| pool.record_second_answer(path.member)).await;
-            pool.set_connection(path, None);
-            connection.fail_pending();
-        }
-        Timer::after(RECONNECT_INTERVAL).await;
-    }
-}
--- a/crates/pinepoint-lab/src/routers/pool.rs
+++ b/crates/pinepoint-lab/src/routers/pool.rs
@@ -1,6 +1,7 @@
 //! All routers of one load: which members each may ask, and the attempts and retries of a request.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -80,11 +81,25 @@
         RouterPool { workload, stats, service_levels, engines, connections: RefCell::new(connections) }
     }
 
+    /// Keeps a connection of one router to one member open, and reads what comes.
+    pub(super) async fn maintain_connection(self: Rc<Self>, path: Path, address: SocketAddr) {
+        loop {
+            if let Ok(connection) = Connection::connect(address).await {
+                let connection = Rc::new(connection);
+                self.set_connection(path, Some(connection.clone()));
+                connection.read_messages(|| self.record_second_answer(path.member)).await;
+                self.set_connection(path, None);
+                connection.fail_pending();
+            }
+            Timer::after(RECONNECT_INTERVAL).await;
+        }
+    }
+
     fn stats(&self) -> MutexGuard<'_, RouterStats> {
         lock(&self.stats)
     }
 
-    pub(super) fn set_connection(&self, path: Path, connection: Option<Rc<Connection>>) {
+    fn set_connection(&self, path: Path, connection: Option<Rc<Connection>>) {
         self.connections.borrow_mut()[path.router][path.member] = connection;
     }
 
@@ -93,7 +108,7 @@
     }
 
     /// An answer came to an attempt that has none to come.
-    pub(super) fn record_second_answer(&self, member: usize) {
+    fn record_second_answer(&self, member: usize) {
         self.stats().record_violation(member, format!("n{}: a second answer to one try", member + 1));
     }
 
