Bound how long a leaving process watches the backlog of its successor

What callers would have seen: where both processes of an upgrade are told to leave within a few seconds, the old one held the listening socket until its end, so that what connected after the new one had closed its own waited for nobody in place of being refused.

Change: the watch ends 2 s after the notice (go-away timeout and lingering close), when the idle connections that it could evict are gone.

Measured: tests upgrade, handover, management, limiter green.

--- a/src/server/frontend/connection/mod.rs
+++ b/src/server/frontend/connection/mod.rs
@@ -19,7 +19,7 @@
 
 /// How long, ms, and for how many bytes, what comes after the writing half was shut down is read and discarded. A close
 /// over unread bytes is a reset, and takes answers along that the other side has not read yet.
-const LINGER_MS: f64 = 1000.0;
+pub const LINGER_MS: f64 = 1000.0;
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// The same where the process is about to end, ms: within what the core leaves between the last answers and the end.
 const FINAL_LINGER_MS: f64 = 60.0;
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -14,7 +14,7 @@
 pub const MESSAGE_TIMEOUT_MS: f64 = 1500.0;
 /// Idle time after the go-away notification after which a connection is closed from here, ms. A router that was notified
 /// closes first; one that stays would hold its descriptor for good.
-const GO_AWAY_TIMEOUT_MS: f64 = 1000.0;
+pub const GO_AWAY_TIMEOUT_MS: f64 = 1000.0;
 /// Least interval of the checks whether a connection is due to close, ms: whatever the settings say, none may spin.
 const MIN_CHECK_INTERVAL_MS: f64 = 5.0;
 
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -20,7 +20,7 @@
 use crate::server::frontend::limiter::{
     ConnectionLimiter, ConnectionUsage, Eviction, EvictionScope, ListenerGuard,
 };
-use crate::server::frontend::shared_backlog::{EvictionPace, yield_capacity};
+use crate::server::frontend::shared_backlog::{EvictionPace, MAX_WATCH_WHILE_LEAVING_MS, yield_capacity};
 use crate::server::observability::counters::count;
 
 /// Wait before the next attempt where there is no capacity or no free descriptor, ms.
@@ -157,13 +157,14 @@
         future::or(resumed, future::or(stopped, yielding)).await
     }
 
-    /// Closes the listening socket. Where a successor accepts on it, it stays open uncounted as long as that lasts: it is the
-    /// successor's now, and shows whether connections wait for capacity that this process holds.
+    /// Closes the listening socket. Where a successor accepts on it, it stays open uncounted for a while: it is the successor's
+    /// now, and shows whether connections wait for capacity that this process holds.
     async fn close(self) {
         let Listener { socket, _open: open } = self.listener;
         if self.context.status.successor_serves.is_on() {
             drop(open);
-            yield_capacity(&socket, &self.context, EvictionPace::Leaving).await;
+            let watch = yield_capacity(&socket, &self.context, EvictionPace::Leaving);
+            future::or(watch, self.context.clock.pause(MAX_WATCH_WHILE_LEAVING_MS)).await;
         } else {
             drop(socket);
             drop(open);
--- a/src/server/frontend/shared_backlog.rs
+++ b/src/server/frontend/shared_backlog.rs
@@ -8,6 +8,8 @@
 use futures_lite::future;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::server::frontend::connection::LINGER_MS;
+use crate::server::frontend::connection_state::GO_AWAY_TIMEOUT_MS;
 use crate::server::frontend::context::FrontendContext;
 use crate::server::frontend::limiter::{Eviction, EvictionScope};
 
@@ -16,6 +18,11 @@
 /// Between two rounds of evictions, ms: in it connections close, the successor hears of it and accepts.
 const ROUND_MS: f64 = 20.0;
 
+/// How long a process that was told to leave watches the backlog, ms: by then its idle connections are closed, lingering
+/// included. It must not hold the listening socket for its whole life: where the successor is told to leave as well and has
+/// closed its own, what connects then has to be refused, not left to wait for nobody.
+pub const MAX_WATCH_WHILE_LEAVING_MS: f64 = GO_AWAY_TIMEOUT_MS + LINGER_MS;
+
 /// How many connections are evicted in one round at most. Rounds begin with one, as one is often enough, and double up to
 /// this, as a caller waits while they go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
