Review: a case that is told to end ends the processes that it started

Cause: SIGTERM to a script ended it without its clean-up, and the comparer that it had started ran on.

Change: the script handles SIGTERM and SIGINT as the end of its run, and then ends what it started.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -4,6 +4,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import traceback
@@ -56,6 +57,9 @@
     temporary = tempfile.mkdtemp(prefix="review-")
 
     async def run():
+        # A run that is told to end still ends what it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             if not (ROOT / "target/release/pinepoint").exists():
                 raise CannotRun("target/release/pinepoint is not built")
@@ -70,7 +74,7 @@
         record.line(f"cannot run: {error}")
         print(f"cannot run: {error}")
         status = 2
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.line(traceback.format_exc())
         traceback.print_exc()
         status = 2
