--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -1,4 +1,5 @@
-"""Runs one case: its exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
+"""Runs one case: its exit status is 10 if the rule was broken, 0 if it held, and 2 if the case could not run. `run.sh` of
+the case turns 10 into 1 and all others than 0 into 2."""
 
 import asyncio
 import os
@@ -13,6 +14,7 @@
 from stand_ins import Engine, Members, Record, ROOT, Store, end_all, free_port
 
 LIMIT_S = 115
+BROKEN = 10
 
 
 class CannotRun(Exception):
@@ -69,7 +71,7 @@
 
     try:
         broken = asyncio.run(run())
-        status = 1 if broken else 0
+        status = BROKEN if broken else 0
     except CannotRun as error:
         record.line(f"cannot run: {error}")
         print(f"cannot run: {error}")
@@ -79,7 +81,7 @@
         traceback.print_exc()
         status = 2
     shutil.rmtree(temporary, ignore_errors=True)
-    text = {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[status]
+    text = {0: "the rule held", BROKEN: "the rule was broken", 2: "the case could not run"}[status]
     record.line(text)
     print(text)
     sys.exit(status)
