Write the reply to a call to the engine once, whatever happens to the link

What callers saw: a result made with the wrong reply.

On a reload the last gauges of the old link proved that it had been read, but nobody told the core. Ruled out: replies of the store (the right one for each call in the record), notices that come twice, and waiting longer (nothing bounds the time between two calls).

Change: the delivery of each command is a typed state. A FEED is written once for each call. Where a written one may be lost the controller hears ReplyUncertain: the run skips the call where an answer without it is worth something (SKIP names the notice, so a run that has moved on ignores it); any other run goes on, and is failed and cancelled if it is silent for five times its expected duration. The last gauges on a link that moves tell the core that all was read. Answers to gauges during a resync no longer prove anything about the old link. RUN and HALT report whether there was a link to take them.

--- a/src/admission/calls.rs
+++ b/src/admission/calls.rs
@@ -3,7 +3,8 @@
 use super::call_budget::CallRepeat;
 use super::dispatch::MIN_RUN_MS;
 use super::request_table::{OpenRequest, RequestState};
-use super::{Action, AdmissionController, FailureReason, Idempotency, Outcome};
+use super::stall_detector::{MIN_STALL_MS, STALL_RUNS};
+use super::{Action, AdmissionController, FailureReason, Idempotency, Outcome, Preemption};
 
 /// A run that waits for a call.
 struct WaitingRun {
@@ -21,6 +22,7 @@
         let core_time_ms = self.core_time.at(now_ms);
         if let Some(open) = self.requests.open.get_mut(&id) {
             open.state = RequestState::AwaitingCall;
+            open.reply_uncertain_since_ms = None;
             open.core_time_at_call_ms = core_time_ms;
             open.work_at_call_ms = (core_time_ms - open.core_time_at_start_ms).max(MIN_RUN_MS);
         }
@@ -125,6 +127,40 @@
             self.fail(id, FailureReason::CallOutcomeUnknown, actions);
         }
     }
+
+    /// Handles a run that may still wait for a reply that was lost. It skips the call if an answer without
+    /// the call earns something: a run that did receive the reply ignores that. Any other run has some time
+    /// to show that it continues.
+    pub(super) fn reply_uncertain(&mut self, now_ms: f64, id: u32, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.open.get_mut(&id) else { return };
+        if open.state != RequestState::Running {
+            return;
+        }
+        if self.settings.classes[open.request.class].weight_without_call > 0.0 {
+            actions.push(Action::SkipCall { id });
+        } else {
+            open.reply_uncertain_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Fails and cancels the runs whose reply must be lost: each was silent for a multiple of its expected
+    /// duration since the reply became uncertain.
+    pub(super) fn end_runs_without_reply(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
+        let is_silent = |open: &OpenRequest| {
+            let run_ms = self.expected_work_ms(&open.request) / self.core_time.share;
+            let timeout_ms = (STALL_RUNS * run_ms).max(MIN_STALL_MS);
+            open.reply_uncertain_since_ms.is_some_and(|since_ms| now_ms - since_ms > timeout_ms)
+        };
+        let running = self.requests.in_state(RequestState::Running);
+        let silent: Vec<u32> = running.filter(|open| is_silent(open)).map(|open| open.request.id).collect();
+        for id in silent {
+            self.fail(id, FailureReason::CallOutcomeUnknown, actions);
+            self.requests.set_reply_certain(id);
+            if self.settings.preemption != Preemption::Never {
+                actions.push(Action::CancelRun { id });
+            }
+        }
+    }
 }
 
 impl OpenRequest {
--- a/src/admission/messages.rs
+++ b/src/admission/messages.rs
@@ -80,6 +80,12 @@
         /// Time since the call was started, ms.
         took_ms: f64,
     },
+    /// The reply to the last call of a run may be lost, and cannot be sent again: the run either continues, or
+    /// still waits for that reply.
+    ReplyUncertain {
+        /// The request.
+        id: u32,
+    },
     /// The caller no longer waits; the request needs no answer.
     CallerGone {
         /// The request.
@@ -137,7 +143,8 @@
         /// Abandon the call after this time, ms.
         call_timeout_ms: f64,
     },
-    /// Continue without the call that a request waits for.
+    /// Continue without the call that a request waits for, or may still wait for after
+    /// [`Event::ReplyUncertain`].
     SkipCall {
         /// The request.
         id: u32,
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -25,6 +25,8 @@
 //! - Send [`Event::CallNeeded`] where running work stops before a call, and [`Event::CallEnded`] for each
 //!   [`Action::StartCall`]. After a success the work continues; after any other outcome it still waits for a
 //!   call.
+//! - Send [`Event::ReplyUncertain`] where the reply to a call may not have reached the run. An
+//!   [`Action::SkipCall`] that follows must not affect a run that did receive the reply.
 //! - Send [`Event::CallerGone`] when the host learns that the caller left. The request needs no answer then.
 //! - For each [`Action::SetTimer`] send [`Event::TimerFired`] with the token and the values of
 //!   [`Settings::gauges`]. The first timer is set on [`Event::Started`], and each timer sets the next.
@@ -244,6 +246,7 @@
             Event::RunEnded { id, outcome } => self.end_run(now_ms, id, outcome, actions),
             Event::CallNeeded { id } => self.await_call(now_ms, id),
             Event::CallEnded { id, outcome, took_ms } => self.end_call(now_ms, id, outcome, took_ms, actions),
+            Event::ReplyUncertain { id } => self.reply_uncertain(now_ms, id, actions),
             Event::CallerGone { id } => self.caller_gone(id, actions),
             Event::DrainStarted { kill_ms } => self.start_drain(now_ms, kill_ms, actions),
             Event::TimerFired { gauges, .. } => self.sample(now_ms, &gauges, actions),
--- a/src/admission/request_table.rs
+++ b/src/admission/request_table.rs
@@ -44,6 +44,8 @@
     pub(super) call_started_ms: f64,
     /// Number of calls that the run made or skipped.
     pub(super) calls: f64,
+    /// Since when it is uncertain whether the run received the reply to its last call, ms.
+    pub(super) reply_uncertain_since_ms: Option<f64>,
 }
 
 impl OpenRequest {
@@ -62,6 +64,7 @@
             work_at_call_ms: 0.0,
             call_started_ms: 0.0,
             calls: 0.0,
+            reply_uncertain_since_ms: None,
         }
     }
 
@@ -104,6 +107,13 @@
         }
     }
 
+    /// Records that it is no longer uncertain whether the run of a request received its reply.
+    pub(super) fn set_reply_certain(&mut self, id: u32) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.reply_uncertain_since_ms = None;
+        }
+    }
+
     /// Open requests in this state, in the order of their ids.
     pub(super) fn in_state(&self, state: RequestState) -> impl Iterator<Item = &OpenRequest> {
         self.open.values().filter(move |open| open.state == state)
--- a/src/admission/sampling.rs
+++ b/src/admission/sampling.rs
@@ -37,6 +37,7 @@
         self.tenants.update(dt_s);
         self.requests.expire_keys(now_ms);
         self.answer_due(now_ms, actions);
+        self.end_runs_without_reply(now_ms, actions);
         self.watch_for_stall(now_ms, dt_s);
         self.report_health(dt_s, actions);
         self.read_delay.update(self.loops.busy_share, self.has_idle_cores(), dt_s);
--- a/src/admission/stall_detector.rs
+++ b/src/admission/stall_detector.rs
@@ -5,9 +5,9 @@
 
 /// Time without progress that counts as a stall, as a multiple of the mean expected duration of the runs. Two
 /// runs take twice their expected duration by chance every few seconds.
-const STALL_RUNS: f64 = 5.0;
+pub(super) const STALL_RUNS: f64 = 5.0;
 /// Shortest time without progress that counts as a stall, ms. The first runs may all have been short.
-const MIN_STALL_MS: f64 = 500.0;
+pub(super) const MIN_STALL_MS: f64 = 500.0;
 /// Sample periods after which a late timer shows that the process itself was paused.
 const LATE_TIMER_PERIODS: f64 = 3.0;
 
--- a/src/server/core/api.rs
+++ b/src/server/core/api.rs
@@ -30,15 +30,17 @@
 
 /// The engine, as the core commands it. Commands are queued; while there is no connection they are dropped.
 pub trait Engine {
-    /// Starts a run; a run that the engine already knows is left unchanged.
-    fn start_run(&self, attempt_id: &str, class: &str, body: &[u8]);
-    /// Cancels a run.
-    fn cancel_run(&self, attempt_id: &str);
-    /// Resumes a run with the reply to its call. Returns whether there is a connection that takes the
-    /// command.
+    /// Starts a run; a run that the engine already knows is left unchanged. Returns whether there is a
+    /// connection that takes the command.
+    fn start_run(&self, attempt_id: &str, class: &str, body: &[u8]) -> bool;
+    /// Cancels a run. Returns whether there is a connection that takes the command.
+    fn cancel_run(&self, attempt_id: &str) -> bool;
+    /// Resumes a run with the reply to its call. The command names no call: the engine takes it for the call
+    /// that the run waits for when the command is read, so it must not be written twice. Returns whether
+    /// there is a connection that takes the command.
     fn deliver_reply(&self, attempt_id: &str, reply: &[u8]) -> bool;
-    /// Resumes a run without the call that this notice asked for. Returns whether there is a connection that
-    /// takes the command.
+    /// Resumes a run without the call that this notice asked for, if the run waits for that call. Returns
+    /// whether there is a connection that takes the command.
     fn skip_call(&self, attempt_id: &str, notice: u64) -> bool;
     /// Requests the gauges. They arrive as [`CoreInput::Gauges`] with this tag, after all earlier commands
     /// have taken effect.
@@ -230,6 +232,8 @@
     },
     /// The connection to the engine is lost.
     EngineDetached,
+    /// The engine has read every command that was written to the connection lost last.
+    EngineCommandsRead,
     /// A run has ended.
     RunEnded {
         /// The attempt that ran.
--- a/src/server/core/calls.rs
+++ b/src/server/core/calls.rs
@@ -6,7 +6,7 @@
 use crate::server::core::Core;
 use crate::server::core::api::Engine;
 use crate::server::core::events::call_cancelled_event;
-use crate::server::core::requests::{CallRequest, CallResult, OpenRequest, RequestState};
+use crate::server::core::requests::{CallRequest, CallResult, Delivery, OpenRequest, RequestState, Resume};
 use crate::server::observability::counters::count;
 
 impl Core {
@@ -17,7 +17,8 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         open.state = RequestState::AwaitingCall;
         open.call_request = call_request;
-        open.resume_with = None;
+        open.start = Delivery::Read;
+        open.resume = None;
         let (needs_no_answer, class) = (open.caller.is_none(), open.class);
         if let Some(event) = cancelled {
             self.emit(id, class, event);
@@ -42,9 +43,10 @@
         self.emit(id, open.class, RequestEventKind::CallStarted);
     }
 
-    /// Executes the controller's decision to resume a run without its call.
+    /// Executes the controller's decision to resume a run without its call. A run that did receive the reply
+    /// to this call ignores the command, which names the notice of the call.
     pub(super) fn skip_call(&mut self, id: u32) {
-        let Some(open) = self.requests.get_in_state(id, RequestState::AwaitingCall) else { return };
+        let Some(open) = self.requests.get_mut(id).filter(|open| open.may_await_call()) else { return };
         open.degraded = true;
         self.emit_for(id, |_| RequestEventKind::CallSkipped);
         count(&self.dependencies.counters.calls_left_out);
@@ -75,11 +77,9 @@
     fn resume_run(&mut self, id: u32, result: CallResult) {
         let Some(open) = self.requests.get_mut(id) else { return };
         open.state = RequestState::Running;
-        open.command_tag = 0;
-        open.resume_with = Some(result);
         // A connection that was just lost takes no command, and its loss is reported to the core only later.
-        let is_sent = self.engine.is_ready() && send_resume(open, &*self.dependencies.engine);
-        open.resume_tag = is_sent.then_some(self.engine.last_tag());
+        let is_written = self.engine.is_ready() && send_resume(open, &result, &*self.dependencies.engine);
+        open.resume = Some(Resume { result, delivery: self.engine.delivery(is_written) });
     }
 
     /// Cancels the call in flight for a request, if there is one. Returns the event of the cancellation,
@@ -96,11 +96,10 @@
 }
 
 /// Sends the command that resumes a run; returns whether there is a connection that takes the command.
-pub(super) fn send_resume(open: &OpenRequest, engine: &dyn Engine) -> bool {
-    match &open.resume_with {
-        Some(CallResult::Reply(reply)) => engine.deliver_reply(&open.attempt_id, reply),
-        Some(CallResult::Skipped) => engine.skip_call(&open.attempt_id, open.call_request.notice),
-        None => false,
+pub(super) fn send_resume(open: &OpenRequest, result: &CallResult, engine: &dyn Engine) -> bool {
+    match result {
+        CallResult::Reply(reply) => engine.deliver_reply(&open.attempt_id, reply),
+        CallResult::Skipped => engine.skip_call(&open.attempt_id, open.call_request.notice),
     }
 }
 
--- a/src/server/core/engine.rs
+++ b/src/server/core/engine.rs
@@ -4,8 +4,9 @@
 
 use crate::admission::{AdmissionController, Event};
 use crate::server::core::Core;
+use crate::server::core::api::Engine;
 use crate::server::core::calls::send_resume;
-use crate::server::core::requests::{OpenRequest, RequestState};
+use crate::server::core::requests::{CallResult, Delivery, OpenRequest, RequestState, Resume};
 use crate::server::observability::counters::count;
 
 /// How the engine started.
@@ -43,20 +44,28 @@
         self.is_attached && self.resync_tag.is_none()
     }
 
-    /// The tag of the last gauge request.
-    pub(super) fn last_tag(&self) -> u64 {
-        self.last_tag
-    }
-
     /// Allocates the tag of the next gauge request.
     pub(super) fn next_tag(&mut self) -> u64 {
         self.last_tag += 1;
         self.last_tag
     }
 
-    /// Records that the gauge request with this tag was answered.
+    /// Records that the gauge request with this tag was answered. During a resync, an answer comes over
+    /// another connection than the commands whose delivery is still to be resolved, and proves nothing.
     pub(super) fn acknowledge(&mut self, tag: u64) {
-        self.acknowledged_tag = self.acknowledged_tag.max(tag);
+        if self.resync_tag.is_none() {
+            self.acknowledged_tag = self.acknowledged_tag.max(tag);
+        }
+    }
+
+    /// Records that the engine has read every command that was written so far.
+    fn acknowledge_written(&mut self) {
+        self.acknowledged_tag = self.last_tag + 1;
+    }
+
+    /// How far a command got that was passed to the connection now.
+    pub(super) fn delivery(&self, is_written: bool) -> Delivery {
+        if is_written { Delivery::Written { tag: self.last_tag } } else { Delivery::NotWritten }
     }
 
     /// Ends the resync if it waits for the answer to this gauge request; returns whether it did.
@@ -64,19 +73,16 @@
         self.resync_tag.take_if(|resync_tag| *resync_tag == tag).is_some()
     }
 
-    /// Whether the engine may not have read a command that was written under this tag.
-    fn may_be_unread(&self, command_tag: u64) -> bool {
-        command_tag >= self.acknowledged_tag
+    /// Whether the engine may not have read a command that got this far.
+    fn may_be_unread(&self, delivery: Delivery) -> bool {
+        match delivery {
+            Delivery::NotWritten | Delivery::Uncertain => true,
+            Delivery::Written { tag } => tag >= self.acknowledged_tag,
+            Delivery::Read => false,
+        }
     }
 }
 
-/// A command about one request.
-enum Command {
-    Resume,
-    Cancel,
-    Start,
-}
-
 impl Core {
     pub(super) fn handle_engine_attached(&mut self, cold: bool, since_start_ms: f64) {
         self.engine.is_attached = true;
@@ -98,6 +104,11 @@
         self.engine.resync_tag = None;
     }
 
+    /// Handles the proof that nothing was lost with the last connection.
+    pub(super) fn handle_engine_commands_read(&mut self) {
+        self.engine.acknowledge_written();
+    }
+
     /// Starts a resync after a reconnect. Only the notices that the engine sends again show which commands it
     /// read on the old connection and which were lost; the gauges come after these notices.
     fn begin_resync(&mut self) {
@@ -126,50 +137,83 @@
         }
     }
 
-    /// Sends again the commands that the engine may not have read.
+    /// Resolves the commands that the engine may not have read, after a reconnect.
     ///
-    /// Starting a running run or cancelling a run again changes nothing. A reply is sent again if its run has
-    /// reported nothing since: if the reply was lost with the old connection, the run would wait until its
-    /// deadline. A second reply changes nothing either: tests with the engine showed that a resumed run
-    /// ignores a second reply, and that a later call takes only its own reply. A command to skip a call names
-    /// the notice of that call.
+    /// Starting a running run or cancelling a run again changes nothing, and a command to skip a call names
+    /// the notice of that call: these are sent again. The command that brings a reply names no call. If the
+    /// engine has read it, the run may by now wait for its next call and would take the reply for that one,
+    /// so it is never written twice: the controller decides what becomes of the run.
     pub(super) fn resend_commands(&mut self) {
-        let last_tag = self.engine.last_tag;
-        let engine = &*self.dependencies.engine;
-        for open in self.requests.iter_mut() {
-            match command_to_resend(open, &self.engine) {
-                Some(Command::Resume) => {
-                    let doubt = open.resume_tag.is_some();
-                    tracing::info!(attempt_id = open.attempt_id, doubt, "resume-resent");
-                    send_resume(open, engine);
-                    open.resume_tag = Some(last_tag);
-                }
-                Some(Command::Cancel) => {
-                    engine.cancel_run(&open.attempt_id);
-                    open.command_tag = last_tag;
+        let mut uncertain = Vec::new();
+        for (id, open) in self.requests.iter_mut() {
+            for command in commands_to_resolve(open, &self.engine) {
+                match command {
+                    Command::Start => {
+                        let class = self.dependencies.site.class_name(open.class);
+                        let engine = &self.dependencies.engine;
+                        let is_written = engine.start_run(&open.attempt_id, class, &open.body);
+                        open.start = self.engine.delivery(is_written);
+                    }
+                    Command::Resume => resend_resume(open, &self.engine, &*self.dependencies.engine),
+                    Command::UncertainReply => uncertain.push(id),
+                    Command::Cancel => {
+                        let is_written = self.dependencies.engine.cancel_run(&open.attempt_id);
+                        open.cancellation = Some(self.engine.delivery(is_written));
+                    }
                 }
-                Some(Command::Start) => {
-                    let class = self.dependencies.site.class_name(open.class);
-                    engine.start_run(&open.attempt_id, class, &open.body);
-                    open.command_tag = last_tag;
-                }
-                None => {}
             }
         }
+        uncertain.into_iter().for_each(|id| self.report_uncertain_reply(id));
+    }
+
+    /// Reports to the controller that a reply may have been lost with the last connection.
+    fn report_uncertain_reply(&mut self, id: u32) {
+        let Some(open) = self.requests.get_mut(id) else { return };
+        let Some(resume) = &mut open.resume else { return };
+        resume.delivery = Delivery::Uncertain;
+        tracing::info!(attempt_id = open.attempt_id, "reply-uncertain");
+        self.dispatch(Event::ReplyUncertain { id });
     }
 }
 
-/// The last command about a request, if the engine may not have read it.
-fn command_to_resend(open: &OpenRequest, connection: &EngineConnection) -> Option<Command> {
-    let resume_may_be_unread = open.resume_tag.is_none_or(|tag| connection.may_be_unread(tag));
-    if open.resume_with.is_some() && resume_may_be_unread {
-        return Some(Command::Resume);
+/// A command about one request that the engine may not have read.
+enum Command {
+    Start,
+    /// Resume the run: the command was not written, or may be written again.
+    Resume,
+    /// Resume the run with a reply, in a command that was written and must not be written again.
+    UncertainReply,
+    Cancel,
+}
+
+/// The commands about a request that the engine may not have read, in the order in which they are sent.
+fn commands_to_resolve(open: &OpenRequest, connection: &EngineConnection) -> Vec<Command> {
+    let mut commands = Vec::new();
+    let is_running = open.state == RequestState::Running;
+    if is_running && open.cancellation.is_none() && connection.may_be_unread(open.start) {
+        commands.push(Command::Start);
+    }
+    let resume = open.resume.as_ref().filter(|resume| connection.may_be_unread(resume.delivery));
+    commands.extend(resume.and_then(resume_to_resolve));
+    if open.cancellation.is_some_and(|delivery| connection.may_be_unread(delivery)) {
+        commands.push(Command::Cancel);
     }
-    if !connection.may_be_unread(open.command_tag) {
-        return None;
+    commands
+}
+
+fn resume_to_resolve(resume: &Resume) -> Option<Command> {
+    match (&resume.result, resume.delivery) {
+        (CallResult::Skipped, _) | (CallResult::Reply(_), Delivery::NotWritten) => Some(Command::Resume),
+        (CallResult::Reply(_), Delivery::Written { .. }) => Some(Command::UncertainReply),
+        (CallResult::Reply(_), Delivery::Uncertain | Delivery::Read) => None,
     }
-    if open.cancelled {
-        return Some(Command::Cancel);
+}
+
+fn resend_resume(open: &mut OpenRequest, connection: &EngineConnection, engine: &dyn Engine) {
+    let Some(resume) = &open.resume else { return };
+    tracing::info!(attempt_id = open.attempt_id, delivery = ?resume.delivery, "resume-resent");
+    let is_written = send_resume(open, &resume.result, engine);
+    if let Some(resume) = &mut open.resume {
+        resume.delivery = connection.delivery(is_written);
     }
-    (open.state == RequestState::Running).then_some(Command::Start)
 }
--- a/src/server/core/inputs.rs
+++ b/src/server/core/inputs.rs
@@ -21,6 +21,7 @@
                 self.handle_engine_attached(cold, since_start_ms);
             }
             CoreInput::EngineDetached => self.handle_engine_detached(),
+            CoreInput::EngineCommandsRead => self.handle_engine_commands_read(),
             CoreInput::RunEnded { attempt_id, result } => self.handle_run_ended(&attempt_id, result),
             CoreInput::CallNeeded { attempt_id, notice, body } => {
                 self.handle_call_needed(&attempt_id, CallRequest { notice, body });
--- a/src/server/core/requests.rs
+++ b/src/server/core/requests.rs
@@ -43,6 +43,31 @@
     Skipped,
 }
 
+/// How far a command to the engine got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It was not written, because there was no connection.
+    NotWritten,
+    /// It was written when the last gauge request had this tag. The answer to a later gauge request on the
+    /// same connection proves that the engine has read it.
+    Written {
+        /// The tag.
+        tag: u64,
+    },
+    /// It was written to a connection that was lost before anything proved that the engine has read it.
+    Uncertain,
+    /// The engine has read it.
+    Read,
+}
+
+/// The command that resumes a run after a call.
+pub struct Resume {
+    /// What the run is resumed with.
+    pub result: CallResult,
+    /// How far the command got.
+    pub delivery: Delivery,
+}
+
 /// The data that distinguishes a request from others, and its original if it is a duplicate.
 pub struct RequestIdentity {
     /// Its idempotency key, or the subject by which reads share a result.
@@ -85,20 +110,16 @@
     pub state: RequestState,
     /// The last call that its run asked for.
     pub call_request: CallRequest,
-    /// The result with which the run is resumed after its last call; kept until a later notice of the engine
-    /// proves that the engine has received it.
-    pub resume_with: Option<CallResult>,
-    /// Tag of the last gauge request when `resume_with` was written to the engine; `None` if it was not
-    /// written.
-    pub resume_tag: Option<u64>,
+    /// The command that resumes the run after its last call; kept until the run needs its next call or ends.
+    pub resume: Option<Resume>,
     /// Number of its last call.
     pub call_id: u64,
     /// When that call was started.
     pub call_started_ms: f64,
-    /// Tag of the last gauge request when the last command about the request was written to the engine.
-    pub command_tag: u64,
-    /// Whether the engine was commanded to cancel its run.
-    pub cancelled: bool,
+    /// How far the command to start its run got.
+    pub start: Delivery,
+    /// How far the command to cancel its run got, if the run is to be cancelled.
+    pub cancellation: Option<Delivery>,
 }
 
 impl OpenRequest {
@@ -120,12 +141,11 @@
             body: arrival.body,
             state: RequestState::Queued,
             call_request: CallRequest::default(),
-            resume_with: None,
-            resume_tag: None,
+            resume: None,
             call_id: 0,
             call_started_ms: 0.0,
-            command_tag: 0,
-            cancelled: false,
+            start: Delivery::NotWritten,
+            cancellation: None,
         }
     }
 
@@ -133,6 +153,12 @@
     pub fn is_unstarted(&self) -> bool {
         matches!(self.state, RequestState::Queued | RequestState::AwaitingResult)
     }
+
+    /// Whether its run waits for a call, or may still wait for a reply that was lost.
+    pub fn may_await_call(&self) -> bool {
+        let is_uncertain = |resume: &Resume| resume.delivery == Delivery::Uncertain;
+        self.state == RequestState::AwaitingCall || self.resume.as_ref().is_some_and(is_uncertain)
+    }
 }
 
 /// The table of open requests.
@@ -235,8 +261,8 @@
     }
 
     /// All requests in the order in which they were read, mutable.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut OpenRequest> {
-        self.open.values_mut()
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (u32, &mut OpenRequest)> {
+        self.open.iter_mut().map(|(id, open)| (*id, open))
     }
 
     /// Takes the caller of an unanswered request; from then on it counts as answered.
--- a/src/server/core/runs.rs
+++ b/src/server/core/runs.rs
@@ -31,13 +31,12 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         open.state = RequestState::Running;
         open.run_started_ms = self.now_ms;
-        open.command_tag = self.engine.last_tag();
         let queue_wait_ms = self.now_ms - open.read_ms;
         self.dependencies.counters.count_class(open.class, |class| &class.runs);
-        if self.engine.is_ready() {
-            let class = self.dependencies.site.class_name(open.class);
-            self.dependencies.engine.start_run(&open.attempt_id, class, &open.body);
-        }
+        let class = self.dependencies.site.class_name(open.class);
+        let is_written =
+            self.engine.is_ready() && self.dependencies.engine.start_run(&open.attempt_id, class, &open.body);
+        open.start = self.engine.delivery(is_written);
         self.mark_request_key_changed(id);
         self.emit_for(id, |_| RequestEventKind::Decided(Decision::Run));
         self.emit_for(id, |_| RequestEventKind::RunStarted { queue_wait_ms });
@@ -67,9 +66,8 @@
     pub(super) fn cancel_run(&mut self, id: u32) {
         if let Some(open) = self.requests.get_in_state(id, RequestState::Running) {
             count(&self.dependencies.counters.halts);
-            open.cancelled = true;
-            open.command_tag = self.engine.last_tag();
-            self.dependencies.engine.cancel_run(&open.attempt_id);
+            let is_written = self.dependencies.engine.cancel_run(&open.attempt_id);
+            open.cancellation = Some(self.engine.delivery(is_written));
         }
     }
 
@@ -79,10 +77,9 @@
         let cancelled_call = self.cancel_call(id);
         let may_cancel = self.dependencies.site.settings.preemption != Preemption::Never;
         let Some(open) = self.requests.get_mut(id) else { return };
-        if open.state == RequestState::AwaitingCall && !open.cancelled && may_cancel {
-            open.cancelled = true;
-            open.command_tag = self.engine.last_tag();
-            self.dependencies.engine.cancel_run(&open.attempt_id);
+        if open.state == RequestState::AwaitingCall && open.cancellation.is_none() && may_cancel {
+            let is_written = self.dependencies.engine.cancel_run(&open.attempt_id);
+            open.cancellation = Some(self.engine.delivery(is_written));
         }
         let class = open.class;
         if let Some(event) = cancelled_call {
--- a/src/server/core/timers.rs
+++ b/src/server/core/timers.rs
@@ -94,9 +94,8 @@
     pub(super) fn handle_gauges(&mut self, tag: u64, gauges: Vec<f64>) {
         self.timers.gauges = gauges;
         if self.engine.ends_resync(tag) {
-            // The commands are sent again before the tag is acknowledged, because the answer came over the
-            // new connection and proves nothing about commands lost with the old one. In the other order, the
-            // engine would never start a run that was decided on while there was no connection.
+            // Before the tag is acknowledged: the answer came over the new connection and proves nothing
+            // about commands that were written to the old one.
             self.resend_commands();
         }
         self.engine.acknowledge(tag);
--- a/src/server/upstream/engine.rs
+++ b/src/server/upstream/engine.rs
@@ -26,7 +26,7 @@
 /// that the engine has read every command before the request.
 const LAST_GAUGES_TAG: u64 = 0;
 /// Time to wait for the last gauges, ms. If the engine stays silent, the commands that it may have missed are
-/// sent again on the new link.
+/// treated as after a lost link.
 const LAST_GAUGES_TIMEOUT_MS: f64 = 250.0;
 
 /// The link to the engine as the core uses it. Commands are queued while the link is up, and dropped while it
@@ -48,12 +48,12 @@
 }
 
 impl api::Engine for EngineLink {
-    fn start_run(&self, attempt_id: &str, class: &str, body: &[u8]) {
-        self.queue_command(|out| write_line_with_body(out, &format!("RUN {attempt_id} {class}"), body));
+    fn start_run(&self, attempt_id: &str, class: &str, body: &[u8]) -> bool {
+        self.queue_command(|out| write_line_with_body(out, &format!("RUN {attempt_id} {class}"), body))
     }
 
-    fn cancel_run(&self, attempt_id: &str) {
-        self.queue_command(|out| write_line(out, &format!("HALT {attempt_id}")));
+    fn cancel_run(&self, attempt_id: &str) -> bool {
+        self.queue_command(|out| write_line(out, &format!("HALT {attempt_id}")))
     }
 
     fn deliver_reply(&self, attempt_id: &str, reply: &[u8]) -> bool {
@@ -207,11 +207,14 @@
         }
         match message.input {
             Some(CoreInput::EngineAttached { .. }) => self.link.attached.set(true),
-            Some(CoreInput::Gauges { tag: LAST_GAUGES_TAG, values: _ }) => return Err(ConnectionEnd::Moved),
+            Some(CoreInput::Gauges { tag: LAST_GAUGES_TAG, values: _ }) => {
+                self.send_to_core(CoreInput::EngineCommandsRead).await?;
+                return Err(ConnectionEnd::Moved);
+            }
             _ => {}
         }
         if let Some(input) = message.input {
-            self.queue.send(input).await.map_err(|_| ConnectionEnd::CoreGone)?;
+            self.send_to_core(input).await?;
         }
         // The notice counts as received only now: if the connection broke while the core's queue was full,
         // the engine has to repeat the notice, or it would be lost.
@@ -220,6 +223,10 @@
         }
         Ok(())
     }
+
+    async fn send_to_core(&self, input: CoreInput) -> Result<(), ConnectionEnd> {
+        self.queue.send(input).await.map_err(|_| ConnectionEnd::CoreGone)
+    }
 }
 
 /// Whether a message of the engine has a body.
--- a/tests/request_events.rs
+++ b/tests/request_events.rs
@@ -6,7 +6,7 @@
 use core_harness::{CoreHarness, Step};
 use pinepoint::admission::Outcome;
 use pinepoint::server::core::api::{CoreInput, Reply};
-use pinepoint_events::{Answer, ProcessEvent, RequestEventKind};
+use pinepoint_events::{Answer, CallOutcome, ProcessEvent, RequestEventKind};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -26,6 +26,18 @@
     ]
 }
 
+/// Steps of runs with many calls on an engine whose connection often breaks.
+fn link_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::AttachEngine),
+        2 => Just(Step::DetachEngine),
+        2 => (0..2usize, 0..6u8).prop_map(|(class, key)| Step::Arrive { class, key, body: 1, age: 0 }),
+        4 => (1..60u16, 0..=100u8).prop_map(|(ms, busy)| Step::Advance { ms, busy }),
+        4 => any::<u8>().prop_map(|run| Step::NeedCall { run }),
+        6 => any::<u8>().prop_map(|call| Step::EndCall { call, how: 0 }),
+    ]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
@@ -59,6 +71,26 @@
             events.iter().filter(|event| matches!(event.kind, RequestEventKind::CallEnded { .. })).count();
         prop_assert_eq!(started, ended + harness.recorded.calls.borrow().len());
     }
+
+    /// Guards against a reply that is delivered again after a reconnect of the engine: the command names no
+    /// call, so the run might take it for the reply to its next call.
+    #[test]
+    fn each_reply_is_delivered_at_most_once(steps in proptest::collection::vec(link_step(), 1..150)) {
+        let mut harness = CoreHarness::with_memory(0.001, 20_000.0);
+        harness.apply(&Step::AttachEngine);
+        for step in &steps {
+            harness.apply(step);
+            if matches!(step, Step::AttachEngine) {
+                let tag = harness.recorded.last_gauge_tag.get();
+                harness.handle(CoreInput::Gauges { tag, values: vec![0.5, 1.0] });
+            }
+        }
+        let events = harness.recorded.request_events.borrow();
+        let replies = events.iter().filter(|event| {
+            matches!(event.kind, RequestEventKind::CallEnded { outcome: CallOutcome::Done, .. })
+        });
+        prop_assert!(harness.recorded.delivered_replies.borrow().len() <= replies.count());
+    }
 }
 
 #[test]
