Answer each request by the time that its caller says it waits

What callers saw: no answer by the time that they waited.

Ruled out: late timers and gauges (nothing else was changed), and late news of callers that leave.

Change: both frontends read the time (budget, on AJP a header from the arrival of the head on) and refuse what no caller sends. One function gives the deadline to the controller, the watchdog and requests that wait for a claim in an upgrade; Class bounds it by its own timeout. The controller derives from it the time for calls, what is too late to start, the age of retries and which runs it cancels. Without the field nothing changes.

Tests: on the code before, 5 of the scenarios in tests/node.rs failed (queue, run, call, impossible values, AJP); the one for claims in tests/handover.rs failed with the class's timeout put back into deadline_ms. All pass now.

--- a/src/admission/settings.rs
+++ b/src/admission/settings.rs
@@ -247,6 +247,11 @@
 }
 
 impl Class {
+    /// How long a caller waits that states this time, or none, ms: no longer than [`Class::timeout_ms`].
+    pub fn caller_timeout_ms(&self, stated_ms: Option<f64>) -> f64 {
+        stated_ms.map_or(self.timeout_ms, |ms| ms.min(self.timeout_ms))
+    }
+
     fn values(&self) -> [(&'static str, f64); 7] {
         [
             ("class.aim_ms", self.latency_objective_ms),
--- a/src/server/core/api.rs
+++ b/src/server/core/api.rs
@@ -161,6 +161,9 @@
     pub class: usize,
     /// When it reached the machine, Unix ms.
     pub arrived_ms: f64,
+    /// How long the caller waits from that time, ms, where the caller states it. The timeout of the class holds
+    /// as well.
+    pub timeout_ms: Option<f64>,
     /// Whether the request is marked as a retry.
     pub retry: bool,
     /// Estimate of its work, ms on one core.
--- a/src/server/core/arrivals.rs
+++ b/src/server/core/arrivals.rs
@@ -5,6 +5,7 @@
 use pinepoint_handover::ownership::UnknownKey;
 
 use crate::admission::{Event, Idempotency, Request};
+use crate::config::site::Site;
 use crate::server::control::lifecycle::Phase as LifecyclePhase;
 use crate::server::core::Core;
 use crate::server::core::api::{Arrival, Reply};
@@ -29,6 +30,11 @@
     timeout_ms * MAX_READ_DELAY_FACTOR + READ_DELAY_MARGIN_MS
 }
 
+/// When the caller of a request stops waiting, Unix ms.
+pub(super) fn deadline_ms(site: &Site, arrival: &Arrival) -> f64 {
+    arrival.arrived_ms + site.settings.classes[arrival.class].caller_timeout_ms(arrival.timeout_ms)
+}
+
 /// Whether the other process of this server has granted the key of a request to this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum KeyClaim {
@@ -162,12 +168,13 @@
             count(&self.dependencies.counters.repeats);
         }
         let class = arrival.class;
+        let deadline_ms = deadline_ms(&self.dependencies.site, &arrival);
         let received = received_event(self.now_ms, &arrival);
         let request = Request {
             id: 0,
             class,
             tenant: arrival.tenant,
-            deadline_ms: None,
+            deadline_ms: arrival.timeout_ms.map(|_| deadline_ms),
             work_hint_ms: arrival.work_hint_ms,
             mem_kb: arrival.mem_kb,
             retry: arrival.retry,
@@ -175,7 +182,6 @@
             duplicate_of: identity.duplicate_of,
             has_subject: arrival.subject.is_some(),
         };
-        let deadline_ms = arrival.arrived_ms + self.class(class).timeout_ms;
         let id = self.requests.insert(OpenRequest::new(arrival, identity, deadline_ms, self.now_ms));
         self.emit(id, class, received);
         self.dispatch(Event::RequestArrived(Request { id, ..request }));
--- a/src/server/core/handover/claims.rs
+++ b/src/server/core/handover/claims.rs
@@ -8,10 +8,9 @@
 use pinepoint_handover::successor;
 
 use super::replication::{local_key, shared_key};
-use crate::config::site::Site;
 use crate::server::core::Core;
 use crate::server::core::api::{Arrival, Reply};
-use crate::server::core::arrivals::{KeyClaim, max_read_delay_ms};
+use crate::server::core::arrivals::{KeyClaim, deadline_ms, max_read_delay_ms};
 use crate::server::core::events::received_event;
 use crate::server::core::keys::{Attempt, IdempotencyKey};
 use crate::server::core::runs::window_end_ms;
@@ -180,8 +179,3 @@
         self.now_ms - max_read_delay_ms(self.dependencies.site.settings.longest_timeout_ms())
     }
 }
-
-/// When the caller of this request stops waiting, Unix ms.
-fn deadline_ms(site: &Site, arrival: &Arrival) -> f64 {
-    arrival.arrived_ms + site.settings.classes[arrival.class].timeout_ms
-}
--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -171,7 +171,8 @@
         let head = request
             .head(&site, arrived_ms, self.options.secret.as_deref())
             .map_err(|status| RequestError::Status(status, reuse_after(status, length)))?;
-        let deadline_ms = arrived_ms + site.settings.classes[head.class].timeout_ms;
+        let class = &site.settings.classes[head.class];
+        let deadline_ms = arrived_ms + class.caller_timeout_ms(head.timeout_ms);
         let body = self.body(length, deadline_ms).await?;
         Ok(ReceivedRequest { correlation_id, arrived_ms, head, body })
     }
@@ -270,6 +271,7 @@
             attempt_id: attempt_id(options.seed, self.state.id, correlation_id),
             class: head.class,
             arrived_ms,
+            timeout_ms: head.timeout_ms,
             retry: head.retry,
             work_hint_ms: head.work_hint_ms,
             mem_kb: head.memory_kb.unwrap_or(options.mem_kb),
--- a/src/server/frontend/ajp/request.rs
+++ b/src/server/frontend/ajp/request.rs
@@ -4,7 +4,7 @@
 use super::packet::{PacketError, PayloadReader, code};
 use crate::admission::Idempotency;
 use crate::config::site::Site;
-use crate::server::frontend::rpc::{MAX_WORK_HINT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
+use crate::server::frontend::rpc::{MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: u16 = 128;
@@ -53,6 +53,7 @@
 mod header {
     pub const CONTENT_LENGTH: &str = "content-length";
     pub const TRANSFER_ENCODING: &str = "transfer-encoding";
+    pub const TIMEOUT_MS: &str = "budget";
     pub const RETRY: &str = "again";
     pub const WORK_HINT_MS: &str = "est";
     pub const MEMORY_KB: &str = "mem";
@@ -94,6 +95,8 @@
 pub struct RequestHead {
     /// Index of the class.
     pub class: usize,
+    /// How long the web server waits, from the arrival of the head on, ms.
+    pub timeout_ms: Option<f64>,
     /// Whether the request is marked as a retry.
     pub retry: bool,
     /// The caller's estimate of the work, ms.
@@ -158,11 +161,12 @@
         if settings.idempotency == Idempotency::Keyed && idempotency_key.is_none() {
             return Err(HttpStatus::BAD_REQUEST);
         }
-        let work_hint_limit_ms = settings.timeout_ms * MAX_WORK_HINT_MULTIPLE;
+        let duration_limit_ms = settings.timeout_ms * MAX_TIMEOUT_MULTIPLE;
         Ok(RequestHead {
             class,
+            timeout_ms: self.positive_number(header::TIMEOUT_MS, duration_limit_ms)?,
             retry: self.header(header::RETRY)? == Some("1"),
-            work_hint_ms: self.positive_number(header::WORK_HINT_MS, work_hint_limit_ms)?,
+            work_hint_ms: self.positive_number(header::WORK_HINT_MS, duration_limit_ms)?,
             memory_kb: self.positive_number(header::MEMORY_KB, REQUEST_MEMORY_LIMIT_KB)?,
             idempotency_key: idempotency_key.map(str::to_owned),
             subject: self.key(header::SUBJECT)?.map(str::to_owned),
--- a/src/server/frontend/rpc/connection.rs
+++ b/src/server/frontend/rpc/connection.rs
@@ -141,6 +141,7 @@
             attempt_id: request.attempt_id,
             class: request.class,
             arrived_ms: request.arrived_ms,
+            timeout_ms: request.timeout_ms,
             retry: request.retry,
             work_hint_ms: request.work_hint_ms,
             mem_kb: request.memory_kb,
--- a/src/server/frontend/rpc/message.rs
+++ b/src/server/frontend/rpc/message.rs
@@ -2,7 +2,7 @@
 //! validated and translated into internal types. Stateless.
 
 use super::msgpack::{self, DecodeError, Value};
-use super::{MAX_BODY_BYTES, MAX_WORK_HINT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
+use super::{MAX_BODY_BYTES, MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
 use crate::admission::Idempotency;
 use crate::config::site::Site;
 
@@ -19,6 +19,7 @@
 mod field {
     pub const ATTEMPT_ID: &str = "rid";
     pub const ARRIVED_MS: &str = "t0";
+    pub const TIMEOUT_MS: &str = "budget";
     pub const RETRY: &str = "again";
     pub const WORK_HINT_MS: &str = "est";
     pub const MEMORY_KB: &str = "mem";
@@ -119,6 +120,8 @@
     pub class: usize,
     /// When the request reached the machine, Unix ms.
     pub arrived_ms: f64,
+    /// How long the router waits from that time, ms.
+    pub timeout_ms: Option<f64>,
     /// Whether the request is marked as a retry.
     pub retry: bool,
     /// The caller's estimate of the work, ms.
@@ -186,15 +189,16 @@
     if settings.idempotency == Idempotency::Keyed && idempotency_key.is_none() {
         return Err(InvalidRequest::InvalidField);
     }
-    let work_hint_limit_ms = settings.timeout_ms * MAX_WORK_HINT_MULTIPLE;
+    let duration_limit_ms = settings.timeout_ms * MAX_TIMEOUT_MULTIPLE;
     fields.number_in(field::PRIORITY, 0.0, 1.0)?;
     fields.number_in(field::PEER, 0.0, f64::INFINITY)?;
     Ok(Request {
         attempt_id: fields.attempt_id()?.to_owned(),
         class,
         arrived_ms: fields.number(field::ARRIVED_MS)?.ok_or(InvalidRequest::InvalidField)?,
+        timeout_ms: fields.number_in(field::TIMEOUT_MS, 0.0, duration_limit_ms)?,
         retry: fields.retry()?,
-        work_hint_ms: fields.number_in(field::WORK_HINT_MS, f64::MIN_POSITIVE, work_hint_limit_ms)?,
+        work_hint_ms: fields.number_in(field::WORK_HINT_MS, f64::MIN_POSITIVE, duration_limit_ms)?,
         memory_kb: fields
             .number_in(field::MEMORY_KB, f64::MIN_POSITIVE, REQUEST_MEMORY_LIMIT_KB)?
             .unwrap_or(0.0),
--- a/src/server/frontend/rpc/mod.rs
+++ b/src/server/frontend/rpc/mod.rs
@@ -17,7 +17,8 @@
 const MAX_NESTING_DEPTH: u32 = 4;
 /// Exclusive upper bound of the memory that is reserved for a pending request, kB.
 pub const REQUEST_MEMORY_LIMIT_KB: f64 = 2000.0;
-/// Exclusive upper bound of a work hint, as a multiple of the timeout of its class.
-pub const MAX_WORK_HINT_MULTIPLE: f64 = 100.0;
+/// Exclusive upper bound of a work hint, and of the time that a caller waits, as a multiple of the timeout of
+/// the class.
+pub const MAX_TIMEOUT_MULTIPLE: f64 = 100.0;
 /// Maximum number of requests in flight on one connection.
 const MAX_IN_FLIGHT_REQUESTS: usize = 32;
--- a/tests/core_harness/mod.rs
+++ b/tests/core_harness/mod.rs
@@ -218,6 +218,7 @@
             attempt_id: format!("r{}", self.last_correlation_id),
             class,
             arrived_ms: self.now - age_ms,
+            timeout_ms: None,
             retry: body.is_multiple_of(2),
             work_hint_ms: Some(100.0),
             mem_kb: 40.0,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -219,3 +219,14 @@
     simulation.advance(200.0);
     assert_eq!(simulation.answers(0, &late).len(), 1);
 }
+
+/// Guards against a claim that holds a request past the time that its caller waits.
+#[test]
+fn answers_request_that_waits_for_claim_by_the_time_its_caller_waits() {
+    let mut simulation = handed_over(CLASS_SETS[0]);
+    simulation.delay_ms = 400.0;
+    simulation.timeout_ms = Some(50.0);
+    let late = simulation.arrive(0, "write", 1, 0.0, 0).expect("the class is known");
+    simulation.advance(200.0);
+    assert_eq!(simulation.answers(0, &late).len(), 1);
+}
--- a/tests/handover_simulation/mod.rs
+++ b/tests/handover_simulation/mod.rs
@@ -45,6 +45,8 @@
     pub runs: Vec<Run>,
     /// Delay of messages that are sent from now on, ms.
     pub delay_ms: f64,
+    /// How long callers wait, ms, where they say so.
+    pub timeout_ms: Option<f64>,
     /// Links that were closed while both processes were alive.
     pub cuts: usize,
     pub crashes: usize,
@@ -64,6 +66,7 @@
             processes: Vec::new(),
             runs: Vec::new(),
             delay_ms: 1.0,
+            timeout_ms: None,
             cuts: 0,
             crashes: 0,
             listening: None,
@@ -177,6 +180,7 @@
             attempt_id: attempt_id.clone(),
             class: class_index,
             arrived_ms,
+            timeout_ms: self.timeout_ms,
             retry: false,
             work_hint_ms: Some(100.0),
             mem_kb: 40.0,
@@ -188,7 +192,7 @@
         let request = ReceivedRequest {
             correlation_id,
             read_ms: self.now,
-            deadline_ms: arrived_ms + TIMEOUT_MS,
+            deadline_ms: arrived_ms + self.timeout_ms.unwrap_or(TIMEOUT_MS),
             cancelled: false,
             caller,
         };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -90,6 +90,52 @@
     rpc expect [1 1 [Failed *] nil]
     engine expect HALT 00000000000000a1"
 )]
+// Guards against a request that is answered only at the deadline of its class although its caller waits for a
+// shorter time: the first is due in 700 ms, the second in 1,500 ms.
+#[case::fails_request_when_its_caller_stops_waiting(
+    "
+    rpc send 1 look rid=a1 budget=700|paper
+    engine expect RUN 00000000000000a1 look|paper
+    rpc send 2 brief rid=a2|paper
+    engine expect RUN 00000000000000a2 brief|paper
+    rpc expect [1 1 [Failed *] nil]
+    engine expect HALT 00000000000000a1
+    rpc expect [1 2 [Failed *] nil]"
+)]
+// The time that the caller waits does not extend the deadline of the class.
+#[case::class_deadline_holds_for_patient_caller(
+    "
+    rpc send 1 brief rid=a1 budget=9000|paper
+    engine expect RUN 00000000000000a1 brief|paper
+    rpc send 2 look rid=a2 budget=4000|paper
+    engine expect RUN 00000000000000a2 look|paper
+    rpc expect [1 1 [Failed *] nil]
+    engine expect HALT 00000000000000a1
+    rpc expect [1 2 [Failed *] nil]"
+)]
+// Guards against a call that is waited for longer than the caller of its request waits: a store that hangs
+// ends it in 1,050 ms, and the second request is due in 1,500 ms.
+#[case::call_ends_when_its_caller_stops_waiting(
+    "
+    rpc send 1 look rid=a1 budget=700|paper
+    engine expect RUN 00000000000000a1 look|paper
+    rpc send 2 brief rid=a2|paper
+    engine expect RUN 00000000000000a2 brief|paper
+    engine send NEED 1 00000000000000a1|which
+    store expect CALL 00000000000000a1 *|which
+    rpc expect [1 1 [Failed *] nil]
+    store expect closed
+    engine expect HALT 00000000000000a1
+    rpc expect [1 2 [Failed *] nil]"
+)]
+// Guards against an attempt that is started although its caller has stopped waiting by the time it is read.
+#[case::rejects_request_whose_caller_has_stopped_waiting(
+    "
+    rpc send 1 look rid=a1 t0=-500 budget=400|paper
+    rpc expect [1 1 [Busy *] nil]
+    rpc send 2 look rid=a2 budget=4000|paper
+    engine expect RUN 00000000000000a2 look|paper"
+)]
 #[case::deadline_counts_from_t0(
     "
     rpc send 1 look rid=a1 t0=-8900|paper
@@ -301,11 +347,18 @@
     rpc expect [1 5 [BadField *] nil]
     rpc send 6 look rid=a6 mem=NaN|x
     rpc expect [1 6 [BadField *] nil]
+    rpc send 7 look rid=a7 budget=-1|x
+    rpc expect [1 7 [BadField *] nil]
+    rpc send 8 look rid=a8 budget=1e300|x
+    rpc expect [1 8 [BadField *] nil]
     ajp send /look mem=2000 secret=s3
     ajp expect status 400 *
     ajp expect end 1
-    rpc send 7 write rid=a7 token=k|paper
-    engine expect RUN 00000000000000a7 write|paper"
+    ajp send /look budget=soon secret=s3
+    ajp expect status 400 *
+    ajp expect end 1
+    rpc send 9 write rid=a9 token=k|paper
+    engine expect RUN 00000000000000a9 write|paper"
 )]
 #[case::malformed_store_reply_affects_only_its_call(
     "
@@ -433,6 +486,19 @@
     ajp expect end 1
     engine expect HALT $a"
 )]
+// Guards against an AJP request that is answered only at the deadline of its class: the other is due later.
+#[case::ajp_answers_504_when_its_caller_stops_waiting(
+    "
+    rpc send 1 brief rid=a1|paper
+    engine expect RUN 00000000000000a1 brief|paper
+    ajp send /look budget=700 secret=s3|paper
+    engine expect RUN $a look|paper
+    ajp expect status 504 Content-Length=0 *
+    ajp expect end 1
+    rpc send 2 ping
+    rpc expect [1 2 nil *
+    rpc expect [1 1 [Failed *] nil]"
+)]
 #[case::ajp_answers_503_while_run_hangs(
     "
     rpc send 1 brief rid=a1|paper
