Send RUN again before HALT where both may be lost with the engine's link

Seen by reading, on the way of the reply that was fed twice: resend_commands resolved only the last command about a request. A read whose caller had left got its HALT again; where its RUN had been lost as well the engine knew no such run and sent no DONE, so the request kept its place among the controller's runs, and its memory, until the process ended.

The engine answers unknown, or starts and cancels the run. Runs with an effect are cancelled at a call or after one only, which proves that their RUN was read: no RUN of theirs is sent for this.

--- a/src/server/core/engine.rs
+++ b/src/server/core/engine.rs
@@ -189,8 +189,8 @@
 /// The commands about a request that the engine may not have read, in the order in which they are sent.
 fn commands_to_resolve(open: &OpenRequest, connection: &EngineConnection) -> Vec<Command> {
     let mut commands = Vec::new();
-    let is_running = open.state == RequestState::Running;
-    if is_running && open.cancellation.is_none() && connection.may_be_unread(open.start) {
+    if open.state == RequestState::Running && connection.may_be_unread(open.start) {
+        // Also before a cancellation: the engine reports the end of a run only if it knows the run.
         commands.push(Command::Start);
     }
     let resume = open.resume.as_ref().filter(|resume| connection.may_be_unread(resume.delivery));
--- a/tests/node_links.rs
+++ b/tests/node_links.rs
@@ -173,6 +173,27 @@
     );
 }
 
+/// Guards against a request that stays open for good: where the commands to start and to cancel its run were
+/// both lost, the engine reports no end of a run that it never started.
+#[test]
+fn resends_start_before_cancellation_after_engine_reconnect() {
+    let mut world = World::start(unresponsive_engine(false), Box::new(|_| Vec::new()));
+    world.run(ENGINE_UP);
+    world.run(
+        "rpc send 1 look rid=a1|paper
+         engine expect RUN 00000000000000a1 look|paper
+         rpc send 1 abort
+         engine expect HALT 00000000000000a1
+         engine close
+         engine expect closed
+         engine expect ATTACH 0
+         engine send HELLO hot 6000
+         engine expect RUN 00000000000000a1 look|paper
+         engine expect HALT 00000000000000a1
+         engine send DONE 1 00000000000000a1 unknown 0|",
+    );
+}
+
 /// A refused connection proves that the call never ran, so a write request does not fail and the call is
 /// retried.
 #[test]
