Keep the calls of one attempt on different connections to the store

Seen by reading, with the cause of the reply that was fed twice in mind: replies of the store name the attempt and no call. take_idle passed over a connection whose last call was of the same attempt, as a copy of that reply may still come, but not one that another attempt had used since. A copy that came that late would have been taken for the reply to the attempt's next call.

Change: a connection remembers the attempts whose calls it carried and is not used for them again. It carries 128 calls at most, which bounds what it remembers.

--- a/src/server/upstream/store.rs
+++ b/src/server/upstream/store.rs
@@ -26,6 +26,8 @@
 /// conditions, 161 of the connections that were used again within 500 ms had been forgotten, but only 8 of
 /// those that were used again within 100 ms. Under load the next call comes sooner.
 const MAX_IDLE_MS: f64 = 100.0;
+/// Maximum number of calls on one connection. It bounds the attempts that a connection remembers.
+const MAX_CALLS_PER_CONNECTION: usize = 128;
 /// Maximum number of idle connections that are kept for further calls.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Time to wait for a reply after the store should have answered `LATE`, ms.
@@ -43,7 +45,8 @@
     /// The call on the connection was cancelled, or the process ended.
     #[error("given-up")]
     Cancelled,
-    /// The connection was idle for too long, or the pool of idle connections was full.
+    /// The connection was idle for too long or had carried the maximum number of calls, or the pool of idle
+    /// connections was full.
     #[error("idle")]
     Idle,
     /// A reload changed the store's address.
@@ -78,20 +81,27 @@
     opened_ms: f64,
     /// When the last reply arrived, Unix ms.
     last_used_ms: f64,
-    /// The attempt that made the last call on this connection: a copy of the reply may still arrive.
-    attempt_id: String,
+    /// The attempts that made the calls on this connection, the last one at the end. A reply names its attempt
+    /// alone, and copies of earlier replies may still arrive.
+    attempt_ids: Vec<String>,
     /// The reason that is logged when the connection is dropped.
     end: ConnectionEnd,
     clock: Clock,
 }
 
+impl Connection {
+    fn carried_call_of(&self, attempt_id: &str) -> bool {
+        self.attempt_ids.iter().any(|carried| carried == attempt_id)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let after_ms = (self.clock.now() - self.opened_ms).round();
         tracing::info!(
             link = "store",
             reason = self.end.to_string(),
-            attempt_id = self.attempt_id,
+            attempt_id = self.attempt_ids.last().map_or("", String::as_str),
             after_ms,
             "link-ended"
         );
@@ -162,7 +172,7 @@
         let Ok(mut connection) = self.connection_for(call).await else {
             return CallResult::without_reply(Outcome::Unreachable);
         };
-        connection.attempt_id.clone_from(&call.attempt_id);
+        connection.attempt_ids.push(call.attempt_id.clone());
         // From here on the call may have run, even if the connection fails.
         let deadline_ms = self.clock.now() + call.timeout_ms + REPLY_MARGIN_MS;
         match self.exchange(call, deadline_ms, &connection.stream).await {
@@ -200,14 +210,15 @@
             address,
             opened_ms,
             last_used_ms: opened_ms,
-            attempt_id: String::new(),
+            attempt_ids: Vec::new(),
             end: ConnectionEnd::Cancelled,
             clock: self.clock.clone(),
         })
     }
 
-    /// Takes the most recently used idle connection that is still usable, if there is one. Connections whose
-    /// last call was of the same attempt are skipped, because a copy of that reply may still arrive.
+    /// Takes the most recently used idle connection that is still usable, if there is one. Connections that
+    /// have carried a call of the same attempt are skipped: a copy of that reply may still arrive, and would
+    /// be taken for the reply to this call.
     fn take_idle(&self, attempt_id: &str) -> Option<Connection> {
         let (now_ms, address) = (self.clock.now(), self.addresses.store());
         let mut idle = self.idle.borrow_mut();
@@ -218,7 +229,7 @@
         idle.retain(|connection| {
             now_ms < connection.last_used_ms + MAX_IDLE_MS && connection.address == address
         });
-        while let Some(index) = idle.iter().rposition(|connection| connection.attempt_id != attempt_id) {
+        while let Some(index) = idle.iter().rposition(|connection| !connection.carried_call_of(attempt_id)) {
             let mut connection = idle.remove(index);
             if is_silent(&connection.stream) {
                 connection.end = ConnectionEnd::Cancelled;
@@ -236,6 +247,10 @@
             connection.end = ConnectionEnd::TrailingBytes;
             return;
         }
+        if connection.attempt_ids.len() >= MAX_CALLS_PER_CONNECTION {
+            connection.end = ConnectionEnd::Idle;
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         idle.push(connection);
         if idle.len() > MAX_IDLE_CONNECTIONS {
--- a/tests/node_links.rs
+++ b/tests/node_links.rs
@@ -8,6 +8,14 @@
 
 use scenario::{ENGINE_UP, Options, World, idle_gauges};
 
+/// The value of a counter in the program's log.
+fn counter(world: &mut World, name: &str) -> u32 {
+    world.run("node send USR1");
+    let counters = world.wait("node", "counters *");
+    let (_, rest) = counters.split_once(&format!(" {name}=")).expect("counted");
+    rest.split(' ').next().and_then(|n| n.parse().ok()).expect("a number")
+}
+
 /// Deadlines depend on timers, and timers depend on gauges: an engine that reports no gauges must not delay
 /// an answer.
 #[test]
@@ -29,19 +37,13 @@
 fn repeats_registry_reports_often_enough_to_tolerate_losses() {
     let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
     world.run(ENGINE_UP);
-    let reports = |world: &mut World| -> u32 {
-        world.run("node send USR1");
-        let counters = world.wait("node", "counters *");
-        let (_, rest) = counters.split_once(" reports=").expect("counted");
-        rest.split(' ').next().and_then(|n| n.parse().ok()).expect("a number")
-    };
-    let before = reports(&mut world);
+    let before = counter(&mut world, "reports");
     // The deadline of the class fails this request after 1.5 s.
     world.run(
         "rpc send 1 brief rid=a1|paper
          rpc expect [1 1 [Failed *] nil]",
     );
-    let during = reports(&mut world) - before;
+    let during = counter(&mut world, "reports") - before;
     assert!(during >= 4, "{during} reports in half the time to live of an entry");
 }
 
@@ -194,6 +196,33 @@
     );
 }
 
+/// Guards against a late copy of the reply to a run's first call that is taken for the reply to its second:
+/// replies name the attempt alone, so its calls go over different connections, also when another attempt used
+/// the first one in between.
+#[test]
+fn calls_of_one_attempt_use_different_connections() {
+    let mut world = World::start(Box::new(idle_gauges), Box::new(|_| Vec::new()));
+    world.run(ENGINE_UP);
+    world.run(
+        "rpc send 1 look rid=a1|paper
+         rpc send 2 look rid=a2|paper
+         engine expect RUN 00000000000000a1 look|paper
+         engine expect RUN 00000000000000a2 look|paper
+         engine send NEED 1 00000000000000a1|first
+         store expect CALL 00000000000000a1 *|first
+         store send 00000000000000a1 OK|one
+         engine expect FEED 00000000000000a1|one
+         engine send NEED 2 00000000000000a2|other
+         store expect CALL 00000000000000a2 *|other
+         store send 00000000000000a2 OK|two
+         engine expect FEED 00000000000000a2|two
+         engine send NEED 3 00000000000000a1|second
+         store wait CALL 00000000000000a1 *|second",
+    );
+    let connections = counter(&mut world, "store_links");
+    assert!(connections >= 2, "{connections} connection for two calls of one attempt");
+}
+
 /// A refused connection proves that the call never ran, so a write request does not fail and the call is
 /// retried.
 #[test]
