Move the limits that all frontends share out of the MessagePack-RPC frontend

The AJP frontend and the edge file took the limits on body, memory and times from the module of the other protocol, and the longest key stood in both. They are in src/server/frontend/request_limits.rs now; no value changes.

--- a/src/bin/pinepoint/edge_config.rs
+++ b/src/bin/pinepoint/edge_config.rs
@@ -7,7 +7,7 @@
 
 pub use pinepoint::config::{Config, FileError};
 use pinepoint::config::{Position, read_text};
-use pinepoint::server::frontend::rpc::REQUEST_MEMORY_LIMIT_KB;
+use pinepoint::server::frontend::request_limits::REQUEST_MEMORY_LIMIT_KB;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -17,7 +17,7 @@
 use crate::server::frontend::connection::{self, CloseReason, ReadHalf, WriteHalf};
 use crate::server::frontend::connection_state::{ConnectionState, MESSAGE_TIMEOUT_MS};
 use crate::server::frontend::context::FrontendContext;
-use crate::server::frontend::rpc::MAX_BODY_BYTES;
+use crate::server::frontend::request_limits::MAX_BODY_BYTES;
 use crate::server::observability::counters::count;
 use crate::server::sync::Notify;
 
--- a/src/server/frontend/ajp/request.rs
+++ b/src/server/frontend/ajp/request.rs
@@ -4,12 +4,10 @@
 use super::packet::{PacketError, PayloadReader, code};
 use crate::admission::Idempotency;
 use crate::config::site::Site;
-use crate::server::frontend::rpc::{MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
+use crate::server::frontend::request_limits::{MAX_KEY_BYTES, MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: u16 = 128;
-/// Maximum length of an idempotency key or subject, bytes.
-const MAX_KEY_BYTES: usize = 64;
 
 /// Codes of the supported HTTP methods.
 const METHOD_GET: u8 = 2;
--- a/src/server/frontend/rpc/message.rs
+++ b/src/server/frontend/rpc/message.rs
@@ -2,14 +2,14 @@
 //! validated and translated into internal types. Stateless.
 
 use super::msgpack::{self, DecodeError, Value};
-use super::{MAX_BODY_BYTES, MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB};
 use crate::admission::Idempotency;
 use crate::config::site::Site;
+use crate::server::frontend::request_limits::{
+    MAX_BODY_BYTES, MAX_KEY_BYTES, MAX_TIMEOUT_MULTIPLE, REQUEST_MEMORY_LIMIT_KB,
+};
 
 /// Number of hexadecimal digits of an attempt id.
 const ATTEMPT_ID_DIGITS: usize = 16;
-/// Maximum length of an idempotency key or subject, bytes.
-const MAX_KEY_BYTES: usize = 64;
 
 /// MessagePack-RPC message types.
 const REQUEST: u64 = 0;
--- a/src/server/frontend/rpc/mod.rs
+++ b/src/server/frontend/rpc/mod.rs
@@ -9,16 +9,11 @@
 
 pub use connection::serve;
 
-/// Maximum length of a request body, bytes.
-pub const MAX_BODY_BYTES: usize = 2048;
+use crate::server::frontend::request_limits::MAX_BODY_BYTES;
+
 /// Maximum length of a message, bytes: the longest body and 4096 bytes for the fields.
 const MAX_MESSAGE_BYTES: usize = MAX_BODY_BYTES + 4096;
 /// Maximum nesting depth of a message: the message, its parameters, its fields, their names.
 const MAX_NESTING_DEPTH: u32 = 4;
-/// Exclusive upper bound of the memory that is reserved for a pending request, kB.
-pub const REQUEST_MEMORY_LIMIT_KB: f64 = 2000.0;
-/// Exclusive upper bound of a work hint, and of the time that a caller waits, as a multiple of the timeout of
-/// the class.
-pub const MAX_TIMEOUT_MULTIPLE: f64 = 100.0;
 /// Maximum number of requests in flight on one connection.
 const MAX_IN_FLIGHT_REQUESTS: usize = 32;
