--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -626,7 +626,7 @@
 
     try:
         violations = asyncio.run(whole())
-    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
+    except BaseException as error:  # a fault of the script is no broken rule
         print(f"could not run: {error!r}")
         sys.exit(2)
     for violation in violations:
