Read on behind a slowly written message while a request is open

Cause: MESSAGE_TIMEOUT_MS limits the rest of a message that has begun. read_messages kept that time whether a request was open or not, and ended the reading for good with Graceful("sender-stalled"); connection::run then waited for the open request without reading and shut down without a look at the socket. The time limit protects others from senders that keep a descriptor; with a request open the descriptor is taken anyway, and nothing can come behind the partial message, so the connection has to become idle by itself.

Change: the limit is one of the timers of ConnectionState::close_timer, for both frontends. It holds while no request is open, starts again with an answer, and closes as the others do: output is flushed, the socket looked at once more, then the writing half shut down. So a close at rest over unread input behind a long write queue is gone as well (by reading).

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -132,17 +132,12 @@
         }
     }
 
-    /// Reads the next packet and returns its payload. A partial packet must be completed in time;
-    /// `deadline_ms` limits the wait, too.
+    /// Reads the next packet and returns its payload. `deadline_ms` limits the wait.
     async fn read_packet(&mut self, deadline_ms: Option<f64>) -> Result<Vec<u8>, CloseReason> {
-        let mut deadline_ms = deadline_ms;
         loop {
             if let Some(payload) = take_packet(&mut self.reader.bytes)? {
                 return Ok(payload);
             }
-            if deadline_ms.is_none() && !self.reader.bytes.is_empty() {
-                deadline_ms = Some(self.connection.context.clock.now() + MESSAGE_TIMEOUT_MS);
-            }
             self.reader.read_more(&self.connection.writer, deadline_ms).await?;
         }
     }
--- a/src/server/frontend/connection/mod.rs
+++ b/src/server/frontend/connection/mod.rs
@@ -91,7 +91,7 @@
 
 /// The reason code of a connection whose other side sends nothing more.
 fn peer_closed_code(state: &ConnectionState) -> &'static str {
-    if state.partial_message.get() {
+    if state.has_partial_message() {
         "cut-off"
     } else if state.is_going_away() {
         "drained"
--- a/src/server/frontend/connection/read_half.rs
+++ b/src/server/frontend/connection/read_half.rs
@@ -34,9 +34,9 @@
 enum ReadEvent {
     /// The number of bytes that were read; 0 at the end of the stream.
     Read(io::Result<usize>),
-    /// A partial message was not completed in time.
+    /// The body of a request was not completed in time.
     TimedOut,
-    /// The connection should close if it is idle, for this reason.
+    /// The connection should close if no more input has arrived, for this reason.
     CloseDue(&'static str),
     /// The process is about to end.
     Finishing,
@@ -67,14 +67,19 @@
         ReadHalf { stream, state, context, bytes: Vec::new(), close_signal }
     }
 
-    /// Appends more bytes to [`ReadHalf::bytes`]. `deadline_ms`, Unix ms, limits the wait: a partial message
-    /// must be complete by then. Bytes that arrive before the event that ends the wait are always read first.
+    /// Appends more bytes to [`ReadHalf::bytes`]. `deadline_ms`, Unix ms, limits the wait where the body of a
+    /// request must be complete by then. Bytes that arrive before the event that ends the wait are always
+    /// read first.
+    ///
+    /// While an answer is pending, nothing but the other side, the end of the process and that deadline ends
+    /// the wait, however long a partial message takes: the other side was not told to send nothing more, and
+    /// requests that it sends behind that message have to be read.
     pub async fn read_more(
         &mut self,
         writer: &WriteHalf,
         deadline_ms: Option<f64>,
     ) -> Result<(), CloseReason> {
-        self.state.partial_message.set(!self.bytes.is_empty());
+        self.state.set_partial_message(!self.bytes.is_empty(), self.context.clock.now());
         if self.bytes.is_empty() {
             // Frees the buffer: otherwise its peak capacity would stay allocated until the connection closes.
             self.bytes = Vec::new();
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -9,9 +9,9 @@
 
 use crate::server::sync::Notify;
 
-/// Time within which a new connection has to deliver its first complete message, and any connection the rest
-/// of a partial message, ms. A router connects when it has something to send; a silent connection must be
-/// closed within 3 s.
+/// Time within which a new connection has to deliver its first complete message, and a connection without a
+/// request in flight the rest of a partial message, ms. A router connects when it has something to send; a
+/// silent connection must be closed within 3 s.
 pub const MESSAGE_TIMEOUT_MS: f64 = 1500.0;
 /// Idle time after the go-away notification after which this process closes a connection, ms. A notified
 /// router closes it earlier; a connection that stays open would occupy its descriptor forever.
@@ -29,6 +29,16 @@
     timeout_ms: f64,
 }
 
+/// A timer that closes a connection.
+#[derive(Clone, Copy, Debug)]
+struct CloseTimer {
+    /// Start of the timeout, Unix ms.
+    start_ms: f64,
+    timeout_ms: f64,
+    /// The reason code of a connection that is closed by this timer.
+    reason: &'static str,
+}
+
 /// The state of one connection, shared by the tasks that serve it and by the limiter.
 #[derive(Debug)]
 pub struct ConnectionState {
@@ -46,8 +56,8 @@
     pub received_message: Cell<bool>,
     /// Whether an answer is pending or a body was requested.
     pub request_in_flight: Cell<bool>,
-    /// Whether a message was received in part only.
-    pub partial_message: Cell<bool>,
+    /// Since when the unread rest of a message is awaited, Unix ms, if a message was received in part only.
+    partial_since_ms: Cell<Option<f64>>,
     /// Set when no new request should come on the connection.
     go_away: Cell<Option<GoAway>>,
     /// Whether the connection was asked to close for another one.
@@ -68,7 +78,7 @@
             last_active_ms: Cell::new(now),
             received_message: Cell::new(false),
             request_in_flight: Cell::new(false),
-            partial_message: Cell::new(false),
+            partial_since_ms: Cell::new(None),
             go_away: Cell::new(None),
             eviction_requested: Cell::new(false),
             lingering: Cell::new(false),
@@ -83,6 +93,17 @@
         self.eviction_requested.set(false);
     }
 
+    /// Records at `now` whether the bytes received so far end within a message.
+    pub fn set_partial_message(&self, is_partial: bool, now: f64) {
+        let since_ms = is_partial.then(|| self.partial_since_ms.get().unwrap_or(now));
+        self.partial_since_ms.set(since_ms);
+    }
+
+    /// Whether a message was received in part only.
+    pub fn has_partial_message(&self) -> bool {
+        self.partial_since_ms.get().is_some()
+    }
+
     /// Counts a request or a health check that was read; returns the number of both so far.
     pub fn count_read(&self) -> u64 {
         let read = self.requests_read.get() + 1;
@@ -166,18 +187,19 @@
     }
 
     /// Completes with the reason code when the connection should close: no request is in flight, and the
-    /// connection is evicted or was idle for too long. Callers themselves close connections that are idle for
-    /// `caller_idle_timeout_ms`: the caller of a connection that is still open after that time is dead.
+    /// connection is evicted, was idle for too long, or has waited for too long for the rest of a message.
+    /// Callers themselves close connections that are idle for `caller_idle_timeout_ms`: the caller of a
+    /// connection that is still open after that time is dead.
     pub async fn close_due(&self, clock: &Clock, caller_idle_timeout_ms: f64) -> &'static str {
         loop {
-            let (timeout_ms, reason) = self.idle_timeout(caller_idle_timeout_ms);
+            let CloseTimer { start_ms, timeout_ms, reason } = self.close_timer(caller_idle_timeout_ms);
             let now = clock.now();
-            let due_ms = self.timeout_start_ms() + timeout_ms;
+            let due_ms = start_ms + timeout_ms;
             if !self.request_in_flight.get() {
                 if self.eviction_requested.get() {
                     return "gave-way";
                 }
-                if now >= due_ms && !self.has_partial_later_message() {
+                if now >= due_ms {
                     return reason;
                 }
             }
@@ -187,18 +209,22 @@
         }
     }
 
-    /// The idle time after which the connection should close, ms, and the reason code for closing it.
-    fn idle_timeout(&self, caller_idle_timeout_ms: f64) -> (f64, &'static str) {
-        match (self.received_message.get(), self.go_away.get()) {
-            (false, _) => (MESSAGE_TIMEOUT_MS, "silent"),
-            (true, Some(go_away)) => (go_away.timeout_ms, "told-to-go"),
-            (true, None) => (caller_idle_timeout_ms, "idle"),
+    /// The timer that closes the connection while no request is in flight. A partial message after a complete
+    /// one has a timer of its own, as its connection is not idle. That timer starts over with every answer:
+    /// until then the connection was open for the request that was answered, and the partial message, behind
+    /// which no other can arrive, did not keep it open.
+    fn close_timer(&self, caller_idle_timeout_ms: f64) -> CloseTimer {
+        let start_ms = self.timeout_start_ms();
+        if !self.received_message.get() {
+            return CloseTimer { start_ms, timeout_ms: MESSAGE_TIMEOUT_MS, reason: "silent" };
+        }
+        if let Some(since_ms) = self.partial_since_ms.get() {
+            let start_ms = since_ms.max(self.last_active_ms.get());
+            return CloseTimer { start_ms, timeout_ms: MESSAGE_TIMEOUT_MS, reason: "sender-stalled" };
+        }
+        match self.go_away.get() {
+            Some(GoAway { timeout_ms, .. }) => CloseTimer { start_ms, timeout_ms, reason: "told-to-go" },
+            None => CloseTimer { start_ms, timeout_ms: caller_idle_timeout_ms, reason: "idle" },
         }
-    }
-
-    /// Whether a part of a message was received after a complete one. Partial messages have a deadline of
-    /// their own, and the connection must not be treated as idle.
-    fn has_partial_later_message(&self) -> bool {
-        self.received_message.get() && self.partial_message.get()
     }
 }
--- a/src/server/frontend/rpc/connection.rs
+++ b/src/server/frontend/rpc/connection.rs
@@ -15,7 +15,7 @@
 use super::response::{ResponseFields, write_error, write_go_away, write_pong, write_result};
 use crate::server::core::api::{Arrival, Caller, CoreInput, Reply};
 use crate::server::frontend::connection::{self, CloseReason, ReadHalf, WriteHalf};
-use crate::server::frontend::connection_state::{ConnectionState, MESSAGE_TIMEOUT_MS};
+use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
 use crate::server::observability::counters::count;
 
@@ -41,36 +41,26 @@
 
 /// Reads messages until reading has to stop; returns the reason.
 async fn read_messages(reader: &mut ReadHalf, connection: &Rc<Connection>) -> CloseReason {
-    let clock = &connection.context.clock;
-    // When the first part of the current partial message was received.
-    let mut partial_since_ms: Option<f64> = None;
     loop {
-        let deadline_ms = partial_since_ms.map(|began_ms| began_ms + MESSAGE_TIMEOUT_MS);
-        if let Err(reason) = reader.read_more(&connection.writer, deadline_ms).await {
+        if let Err(reason) = reader.read_more(&connection.writer, None).await {
             return reason;
         }
-        match handle_buffered(reader, connection).await {
-            Ok(0) => {}
-            Ok(_) => partial_since_ms = None,
-            Err(error) => return CloseReason::ProtocolError(error.reason_code()),
+        if let Err(error) = handle_buffered(reader, connection).await {
+            return CloseReason::ProtocolError(error.reason_code());
         }
-        let is_partial = !reader.bytes.is_empty();
-        partial_since_ms = is_partial.then(|| partial_since_ms.unwrap_or_else(|| clock.now()));
         connection.writer.ready().await;
         future::yield_now().await;
     }
 }
 
-/// Handles all complete messages; returns their number.
-async fn handle_buffered(reader: &mut ReadHalf, connection: &Rc<Connection>) -> Result<usize, ProtocolError> {
+/// Handles all complete messages.
+async fn handle_buffered(reader: &mut ReadHalf, connection: &Rc<Connection>) -> Result<(), ProtocolError> {
     let context = &connection.context;
-    let mut handled = 0;
     loop {
         let site = context.active_settings.site();
         let Some(message) = take_message(&mut reader.bytes, &site, context.clock.now())? else {
-            return Ok(handled);
+            return Ok(());
         };
-        handled += 1;
         context.limiter.message_received(&connection.state, context.clock.now());
         connection.handle(message).await?;
     }
--- a/tests/upgrade/connections.rs
+++ b/tests/upgrade/connections.rs
@@ -7,6 +7,8 @@
 
 /// Pause in the middle of a message. A draining process waits longer than this for the rest of a message.
 const REST_OF_MESSAGE: Duration = Duration::from_millis(30);
+/// Pause in the middle of a message for which a connection without an open request would be closed.
+const LONG_PAUSE: Duration = Duration::from_millis(1600);
 
 #[test]
 fn idle_connection_receives_goaway() {
@@ -46,6 +48,27 @@
     assert_eq!(runs_of("in two parts", &[&predecessor.engine, &successor.engine]), 1);
 }
 
+/// Guards against a request that is never read: a message that took long, beside an open request, ended the
+/// reading in a predecessor, too.
+#[test]
+fn request_written_slowly_beside_running_request_is_answered_by_predecessor() {
+    let deployment = deployment();
+    let mut predecessor = start_ready(&deployment, commanded_engine());
+    let client = connect(&deployment);
+    let running = start_run(&predecessor, &client, &Request::read("paper"));
+    let _successor = take_over(&deployment);
+    let (id, bytes) = client.encode(&Request::read("in two parts")).expect("encoded");
+    let (first, rest) = bytes.split_at(bytes.len() / 2);
+    client.write(first).expect("written");
+    std::thread::sleep(LONG_PAUSE);
+    client.write(rest).expect("written");
+    // A run that takes as long as the one beside it looks stalled, so this request may be rejected.
+    assert_ne!(client.wait(id), Reply::Lost);
+    predecessor.engine.finish("paper");
+    assert_ne!(client.wait(running), Reply::Lost);
+    terminate(&deployment, &mut predecessor);
+}
+
 #[test]
 fn running_request_is_answered_after_sigterm() {
     let deployment = deployment();
