Take an AJP request for arrived when its body is complete

Cause: RequestReader::receive took the time of the head for the arrival.

Change: the arrival is the time at which the request is complete, and the core is told what is left of the caller's time, which counts from the head as before. A slow body no longer counts as a request that lay unread, either.

Evidence: ends::ajp_request_completed_after_grace_period_is_rejected failed before (504 after its run, where 503 is due) and passes; ends and node pass.

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -46,7 +46,10 @@
 /// A request whose head and body are complete.
 struct ReceivedRequest {
     correlation_id: u64,
+    /// When it was complete, Unix ms.
     arrived_ms: f64,
+    /// How long its caller waits from that time, ms.
+    timeout_ms: f64,
     head: RequestHead,
     body: Vec<u8>,
 }
@@ -158,18 +161,21 @@
     /// Parses the head of a request and reads its body.
     async fn receive(&mut self, payload: &[u8]) -> Result<ReceivedRequest, RequestError> {
         let context = self.connection.context.clone();
-        let arrived_ms = context.clock.now();
+        let head_ms = context.clock.now();
         let correlation_id = self.connection.state.count_read();
         let request = ForwardRequest::parse(payload)?;
         let length = request.body_length().map_err(RequestError::final_status)?;
         let site = context.active_settings.site();
         let head = request
-            .head(&site, arrived_ms, self.options.secret.as_deref())
+            .head(&site, head_ms, self.options.secret.as_deref())
             .map_err(|status| RequestError::Status(status, reuse_after(status, length)))?;
         let class = &site.settings.classes[head.class];
-        let deadline_ms = arrived_ms + class.caller_timeout_ms(head.timeout_ms);
+        // The caller waits from the head on, but a request has reached this machine only when it is complete.
+        let deadline_ms = head_ms + class.caller_timeout_ms(head.timeout_ms);
         let body = self.body(length, deadline_ms).await?;
-        Ok(ReceivedRequest { correlation_id, arrived_ms, head, body })
+        let arrived_ms = context.clock.now();
+        let timeout_ms = (deadline_ms - arrived_ms).max(0.0);
+        Ok(ReceivedRequest { correlation_id, arrived_ms, timeout_ms, head, body })
     }
 
     /// Reads a body, which has to be complete by `deadline_ms`.
@@ -257,7 +263,7 @@
 impl Connection {
     /// Passes a request to the core.
     async fn submit(self: &Rc<Self>, request: ReceivedRequest, options: &Options) {
-        let ReceivedRequest { correlation_id, arrived_ms, head, body } = request;
+        let ReceivedRequest { correlation_id, arrived_ms, timeout_ms, head, body } = request;
         self.in_flight.set(Some(correlation_id));
         let arrival = Arrival {
             caller: self.clone(),
@@ -266,7 +272,7 @@
             attempt_id: attempt_id(options.seed, self.state.id, correlation_id),
             class: head.class,
             arrived_ms,
-            timeout_ms: head.timeout_ms,
+            timeout_ms: Some(timeout_ms),
             retry: head.retry,
             work_hint_ms: head.work_hint_ms,
             mem_kb: head.memory_kb.unwrap_or(options.mem_kb),
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -462,6 +462,28 @@
     );
 }
 
+/// Guards against a run of a request that reached the machine after the grace period: the time of the head
+/// counted as the arrival of an AJP request, however late its body was complete.
+#[test]
+fn ajp_request_completed_after_grace_period_is_rejected() {
+    up(Options::default()).run(
+        "node send TERM
+         node wait leaving *
+         node send clock=1000
+         ajp send /look secret=s3 transfer-encoding=chunked
+         ajp expect get *
+         node send clock=2100
+         ajp send data|paper
+         ajp expect get *
+         ajp send data
+         ajp expect status 503 *
+         ajp expect end *
+         ajp expect closed
+         node wait exit 0
+         engine never RUN *",
+    );
+}
+
 /// The kill is near and runs are unfinished: each caller gets one complete answer, which no reset destroys,
 /// whatever else the caller sends.
 #[rstest]
