Read message ids in the signed forms of MessagePack

Cause: Decoder::value took the unsigned forms alone and made a protocol error of the others, which closes the connection.

Change: the signed forms are read where the number is at least 0; a negative one stays an error.

Evidence: node::passes_scenario::takes_message_ids_in_signed_forms failed before (closed after the first id) and passes, with a request and an abort behind such ids; node passes.

--- a/src/server/frontend/rpc/msgpack.rs
+++ b/src/server/frontend/rpc/msgpack.rs
@@ -11,7 +11,7 @@
     Nil,
     /// A boolean.
     Bool(bool),
-    /// An unsigned integer.
+    /// An integer of at least 0, in any of the unsigned or signed forms.
     Uint(u64),
     /// A UTF-8 string.
     Str(&'a str),
@@ -74,6 +74,7 @@
                 Ok(Value::Bin(self.bytes(length)?))
             }
             0xcc..=0xcf => Ok(Value::Uint(self.integer(1 << (tag - 0xcc))?)),
+            0xd0..=0xd3 => Ok(Value::Uint(self.non_negative_integer(1 << (tag - 0xd0))?)),
             0xd9..=0xdb => {
                 let length = self.length(1 << (tag - 0xd9))?;
                 self.string(length)
@@ -104,6 +105,14 @@
         Ok(self.bytes(bytes)?.iter().fold(0, |sum, byte| (sum << 8) | u64::from(*byte)))
     }
 
+    /// Decodes a big-endian integer in two's complement of `bytes` bytes, at most 8, which must not be
+    /// negative.
+    fn non_negative_integer(&mut self, bytes: usize) -> Result<u64, DecodeError> {
+        let value = self.integer(bytes)?;
+        let sign_bit = 1 << (bytes * 8 - 1);
+        if value & sign_bit == 0 { Ok(value) } else { Err(DecodeError::InvalidType) }
+    }
+
     fn length(&mut self, bytes: usize) -> Result<usize, DecodeError> {
         usize::try_from(self.integer(bytes)?).map_err(|_| DecodeError::TooLong)
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -161,6 +161,25 @@
     rpc expect closed
     node wait conn-ended conn=1 front=rpc reason=bad-message-id *"
 )]
+// Guards against a connection that was closed, its requests unanswered, for an id in a signed form.
+#[case::takes_message_ids_in_signed_forms(
+    "
+    rpc send hex=9400d005a470696e679180
+    rpc expect [1 5 nil *
+    rpc send hex=9400d10100a470696e679180
+    rpc expect [1 256 nil *
+    rpc send hex=9400d200010000a470696e679180
+    rpc expect [1 65536 nil *
+    rpc send hex=9400d30000000001000000a470696e679180
+    rpc expect [1 16777216 nil *
+    rpc send 16777217 look rid=a1|paper
+    engine expect RUN 00000000000000a1 look|paper
+    rpc send hex=9302a561626f727491d30000000001000001
+    engine expect HALT 00000000000000a1
+    rpc send hex=9400d3ffffffffffffffffa470696e679180
+    rpc expect closed
+    node wait conn-ended conn=1 front=rpc reason=bad-type *"
+)]
 #[case::closes_on_invalid_messagepack(
     "
     rpc send hex=c1
