Evict a connection that is within a message after all idle ones

Change: connections with a partial message come after those without one. They are still chosen where there is no other, so that half-written messages lock nobody out.

Evidence: limiter::evicts_idle_connection_before_one_within_message failed before and passes; limiter and node_load pass.

--- a/src/server/frontend/limiter.rs
+++ b/src/server/frontend/limiter.rs
@@ -180,7 +180,7 @@
     ///
     /// 1. a connection that only waits for its other side to close,
     /// 2. the oldest connection without a message, if it is no longer new or there are too many new ones,
-    /// 3. the connection with a message that was idle longest.
+    /// 3. the connection with a message that was idle longest; one that is within a message only if all are.
     ///
     /// Without eviction, hundreds of callers that send nothing, or send one request and stay connected, would
     /// lock all routers out.
@@ -196,7 +196,10 @@
             || silent().next().filter(|state| !is_new(state, now) || protected > MAX_PROTECTED_CONNECTIONS);
         let longest_idle = || {
             let idle = candidates().filter(|state| is_evictable(state, now));
-            idle.min_by(|a, b| a.last_active_ms.get().total_cmp(&b.last_active_ms.get()))
+            idle.min_by(|a, b| {
+                let by_message = a.has_partial_message().cmp(&b.has_partial_message());
+                by_message.then(a.last_active_ms.get().total_cmp(&b.last_active_ms.get()))
+            })
         };
         match lingering().or_else(evictable_silent).or_else(longest_idle) {
             Some(state) => {
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -83,6 +83,21 @@
     assert_eq!(limiter.evict_one(EvictionScope::Process, LONG_IDLE_MS), Eviction::NoCandidate);
 }
 
+/// Guards against a message that is cut off for a new connection although other connections are idle: the
+/// connection with a half-written request was evicted, as its last complete message was longest ago.
+#[test]
+fn evicts_idle_connection_before_one_within_message() {
+    let limiter = ConnectionLimiter::new(2, MEMORY_MB);
+    let writing = idle(&limiter, 0.0);
+    writing.set_partial_message(true, LONG_IDLE_MS);
+    let used_later = idle(&limiter, 1.0);
+    assert_eq!(limiter.evict_one(EvictionScope::Process, LONG_IDLE_MS), Eviction::Requested);
+    assert!(used_later.is_eviction_requested());
+    assert!(!writing.is_eviction_requested());
+    assert_eq!(limiter.evict_one(EvictionScope::Process, LONG_IDLE_MS), Eviction::Requested);
+    assert!(writing.is_eviction_requested(), "a half-written message does not lock other callers out");
+}
+
 /// A process that hands over asks all callers to disconnect and then needs descriptors for its successor at
 /// once.
 #[test]
