Read on while a connection that is due to close still has answers to write

Cause: shut_down_if_quiet waited for the write queue without reading, up to the 15 s of a stalled reader.

Change: the wait is part of the signal to close, beside which the read half goes on reading; the close comes when it is due and the queue is empty, and a request that came meanwhile cancels it. The read half owns a reference to the write half for that.

New test pressure::reads_requests_while_answers_wait_for_caller, which failed before (the request was never started) and passes; pressure, ends and node pass. The test sets small segments on its socket, so that the system's buffers do not hide the queue: socket2, for tests only.

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -31,12 +31,13 @@
     let connection = Rc::new(Connection {
         state,
         context: context.clone(),
-        writer: WriteHalf::new(context.clone()),
+        writer: Rc::new(WriteHalf::new(context.clone())),
         in_flight: Cell::new(None),
         answered: Notify::default(),
     });
     let _ = context.queue.send(CoreInput::ConnectionOpened(connection.clone())).await;
-    let reader = ReadHalf::new(stream.clone(), connection.state.clone(), context.clone());
+    let reader =
+        ReadHalf::new(stream.clone(), connection.state.clone(), context.clone(), connection.writer.clone());
     let mut request_reader = RequestReader { reader, connection: connection.clone(), options };
     let reading = request_reader.run();
     let is_idle = || connection.in_flight.get().is_none();
@@ -141,7 +142,7 @@
             if let Some(payload) = take_packet(&mut self.reader.bytes)? {
                 return Ok(payload);
             }
-            self.reader.read_more(&self.connection.writer, deadline_ms).await?;
+            self.reader.read_more(deadline_ms).await?;
         }
     }
 
@@ -227,7 +228,7 @@
                 connection.answered.wait().await;
                 Ok(())
             };
-            match future::or(answered, self.reader.read_more(&connection.writer, None)).await {
+            match future::or(answered, self.reader.read_more(None)).await {
                 Ok(()) => {}
                 // Nothing more is read; the request that was read is still answered.
                 Err(CloseReason::Finishing) => return Err(CloseReason::Finishing),
@@ -254,7 +255,7 @@
 struct Connection {
     state: Rc<ConnectionState>,
     context: Rc<FrontendContext>,
-    writer: WriteHalf,
+    writer: Rc<WriteHalf>,
     /// The unanswered request, if there is one.
     in_flight: Cell<Option<u64>>,
     answered: Notify,
--- a/src/server/frontend/connection/read_half.rs
+++ b/src/server/frontend/connection/read_half.rs
@@ -21,6 +21,7 @@
     stream: Rc<Async<TcpStream>>,
     state: Rc<ConnectionState>,
     context: Rc<FrontendContext>,
+    writer: Rc<WriteHalf>,
     /// Bytes that were read and do not form a complete message yet.
     pub bytes: Vec<u8>,
     /// Completes when the connection should close. The future is kept from one read to the next, so that its
@@ -42,11 +43,22 @@
     Finishing,
 }
 
-fn close_signal(state: Rc<ConnectionState>, context: Rc<FrontendContext>) -> CloseSignal {
+/// Completes when the connection should close. Answers that the other side has not taken yet come first, and
+/// reading goes on until then: the other side may still send requests.
+fn close_signal(
+    state: Rc<ConnectionState>,
+    context: Rc<FrontendContext>,
+    writer: Rc<WriteHalf>,
+) -> CloseSignal {
     Box::pin(async move {
         let close_due = async {
-            let reason = state.close_due(&context.clock, context.caller_idle_timeout_ms()).await;
-            ReadEvent::CloseDue(reason)
+            loop {
+                let reason = state.close_due(&context.clock, context.caller_idle_timeout_ms()).await;
+                if writer.is_flushed() {
+                    return ReadEvent::CloseDue(reason);
+                }
+                writer.flushed().await;
+            }
         };
         let finishing = async {
             context.status.finishing.wait().await;
@@ -62,9 +74,10 @@
         stream: Rc<Async<TcpStream>>,
         state: Rc<ConnectionState>,
         context: Rc<FrontendContext>,
+        writer: Rc<WriteHalf>,
     ) -> Self {
-        let close_signal = close_signal(state.clone(), context.clone());
-        ReadHalf { stream, state, context, bytes: Vec::new(), close_signal }
+        let close_signal = close_signal(state.clone(), context.clone(), writer.clone());
+        ReadHalf { stream, state, context, writer, bytes: Vec::new(), close_signal }
     }
 
     /// Appends more bytes to [`ReadHalf::bytes`]. `deadline_ms`, Unix ms, limits the wait where the body of a
@@ -74,11 +87,7 @@
     /// While an answer is pending, nothing but the other side, the end of the process and that deadline ends
     /// the wait, however long a partial message takes: the other side was not told to send nothing more, and
     /// requests that it sends behind that message have to be read.
-    pub async fn read_more(
-        &mut self,
-        writer: &WriteHalf,
-        deadline_ms: Option<f64>,
-    ) -> Result<(), CloseReason> {
+    pub async fn read_more(&mut self, deadline_ms: Option<f64>) -> Result<(), CloseReason> {
         self.state.set_partial_message(!self.bytes.is_empty(), self.context.clock.now());
         if self.bytes.is_empty() {
             // Frees the buffer: otherwise its peak capacity would stay allocated until the connection closes.
@@ -96,8 +105,9 @@
                 ReadEvent::TimedOut => return Err(CloseReason::Graceful("sender-stalled")),
                 ReadEvent::Finishing => return Err(CloseReason::Finishing),
                 ReadEvent::CloseDue(reason) => {
-                    self.close_signal = close_signal(self.state.clone(), self.context.clone());
-                    self.shut_down_if_quiet(reason, writer).await?;
+                    self.close_signal =
+                        close_signal(self.state.clone(), self.context.clone(), self.writer.clone());
+                    self.shut_down_if_quiet(reason)?;
                 }
             }
         }
@@ -122,8 +132,7 @@
     /// the check of the socket and the shutdown: input that the other side wrote before is read, and input
     /// that it writes later meets a connection that is shut down, so that the other side sends it again to
     /// another server.
-    async fn shut_down_if_quiet(&self, reason: &'static str, writer: &WriteHalf) -> Result<(), CloseReason> {
-        writer.flushed().await;
+    fn shut_down_if_quiet(&self, reason: &'static str) -> Result<(), CloseReason> {
         let socket = self.stream.get_ref();
         match socket.peek(&mut [0]) {
             Ok(0) => Err(CloseReason::PeerClosed),
--- a/src/server/frontend/connection/write_half.rs
+++ b/src/server/frontend/connection/write_half.rs
@@ -70,10 +70,15 @@
         }
     }
 
+    /// Whether all queued bytes were passed to the system.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.buffer.backlog() == 0
+    }
+
     /// Completes when all queued bytes were passed to the system. [`WriteHalf::run`] ends a connection whose
     /// reader stalls.
     pub(super) async fn flushed(&self) {
-        while self.buffer.backlog() > 0 {
+        while !self.is_flushed() {
             self.flushed.wait().await;
         }
     }
@@ -92,7 +97,7 @@
             }
             self.account();
             self.flushed.wake();
-            if let Some(reason) = self.end_reason.get().filter(|_| is_idle() && self.buffer.backlog() == 0) {
+            if let Some(reason) = self.end_reason.get().filter(|_| is_idle() && self.is_flushed()) {
                 return WriterEnd::Flushed(reason);
             }
         }
--- a/src/server/frontend/rpc/connection.rs
+++ b/src/server/frontend/rpc/connection.rs
@@ -28,12 +28,13 @@
     let connection = Rc::new(Connection {
         state,
         context: context.clone(),
-        writer: WriteHalf::new(context.clone()),
+        writer: Rc::new(WriteHalf::new(context.clone())),
         in_flight: RefCell::new(BTreeSet::new()),
         last_message_id: Cell::new(0),
     });
     let _ = context.queue.send(CoreInput::ConnectionOpened(connection.clone())).await;
-    let mut reader = ReadHalf::new(stream.clone(), connection.state.clone(), context.clone());
+    let mut reader =
+        ReadHalf::new(stream.clone(), connection.state.clone(), context.clone(), connection.writer.clone());
     let reading = read_messages(&mut reader, &connection);
     let is_idle = || connection.in_flight.borrow().is_empty();
     connection::run(&stream, &connection.state, &context, &connection.writer, reading, is_idle).await
@@ -42,7 +43,7 @@
 /// Reads messages until reading has to stop; returns the reason.
 async fn read_messages(reader: &mut ReadHalf, connection: &Rc<Connection>) -> CloseReason {
     loop {
-        if let Err(reason) = reader.read_more(&connection.writer, None).await {
+        if let Err(reason) = reader.read_more(None).await {
             return reason;
         }
         if let Err(error) = handle_buffered(reader, connection).await {
@@ -70,7 +71,7 @@
 struct Connection {
     state: Rc<ConnectionState>,
     context: Rc<FrontendContext>,
-    writer: WriteHalf,
+    writer: Rc<WriteHalf>,
     /// Message ids of the unanswered requests.
     in_flight: RefCell<BTreeSet<u64>>,
     last_message_id: Cell<u64>,
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use scenario::{Answer, Options, World, idle_gauges, rpc_request};
+use socket2::{Domain, Socket, Type};
 
 const UP: &str = "
 engine expect ATTACH 0
@@ -140,6 +141,45 @@
     world.run("node wait exit 0");
 }
 
+/// Guards against requests that lie unread: a connection that was idle for too long stopped reading, untold,
+/// until its caller had taken all answers. The caller reads none for a while and sends one more request.
+#[test]
+fn reads_requests_while_answers_wait_for_caller() {
+    /// Answers that the program still queues without a pause of the reading, but the system does not take.
+    const ANSWERS: usize = 15;
+    const SEGMENT_BYTES: u32 = 536;
+    const RECEIVE_BUFFER_BYTES: usize = 2048;
+    /// The connection is idle for longer than its timeout.
+    const IDLE: Duration = Duration::from_millis(1000);
+    let result = "r".repeat(4096);
+    let mut world = start_with(Box::new(idle_or_up), Options { idle_ms: 300, ..Options::default() });
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    // With small segments the system has small buffers.
+    socket.set_tcp_mss(SEGMENT_BYTES).expect("set the segment size");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("set a small receive buffer");
+    socket.connect(&world.listen.into()).expect("the program listens");
+    let mut caller = TcpStream::from(socket);
+    caller.set_read_timeout(Some(Duration::from_secs(20))).expect("set a read timeout");
+    for id in 1..=ANSWERS {
+        let request = rpc_request(&format!("{id} look rid={id:x}|paper"));
+        caller.write_all(&request).expect("send a request");
+        world.run(&format!(
+            "engine expect RUN {id:0>16x} look|paper
+             engine send DONE {id} {id:0>16x} complete 1|{result}"
+        ));
+    }
+    std::thread::sleep(IDLE);
+    caller.write_all(&rpc_request("16 look rid=ff|later")).expect("send one more request");
+    world.run(&format!(
+        "engine expect RUN 00000000000000ff look|later
+         engine send DONE 16 00000000000000ff complete 1|{result}"
+    ));
+    caller.shutdown(Shutdown::Write).expect("shut the writing half down");
+    let mut received = Vec::new();
+    caller.read_to_end(&mut received).expect("all answers");
+    assert_eq!(String::from_utf8_lossy(&received).matches(&result).count(), ANSWERS + 1);
+}
+
 /// An engine notice cut off at any byte counts as not received: the engine sends it again on the next link,
 /// and the caller gets one answer.
 #[test]
