Answer an AJP request whose body does not come before its connection ends

What callers saw: a web server whose request had been read up to its body saw the connection close without an answer, 1.5 s after the last part, at the deadline (504 by the README) or at the end of the process.

RequestReader::body passed on the reason why reading stopped, and connection::run closed. The web server had been told to go on with the body, and AJP knows no repeat after a close.

Change: 400 after 1.5 s without a part of the body, 504 at the deadline, 503 with Retry-After at the end of the process; each is the last answer of its connection. The limit of 1.5 s stays: while a body is awaited the connection cannot be evicted.

One check changes: closes_connections_stalled_within_message expected the close alone. It expects the status, the end of the answer without reuse, the close, and one read and one answered request in the log line.

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -60,6 +60,9 @@
     /// The request is answered with this status. The connection ends unless it may be reused: the rest of the
     /// body may still arrive, and no packet after it could be interpreted.
     Status(HttpStatus, Reuse),
+    /// The rest of the body did not come. The request is answered with this status, as the web server was told
+    /// to go on with it, and the connection ends for this reason.
+    Incomplete(HttpStatus, CloseReason),
     /// The connection ends.
     Close(CloseReason),
 }
@@ -154,7 +157,14 @@
                 self.connection.submit(request, &self.options).await;
                 self.await_answer(correlation_id).await
             }
-            Err(RequestError::Status(status, reuse)) => self.connection.reject(status, reuse),
+            Err(RequestError::Status(status, reuse)) => {
+                self.connection.reject(status, reuse);
+                if reuse == Reuse::Allowed { Ok(()) } else { Err(CloseReason::Graceful("bad-request")) }
+            }
+            Err(RequestError::Incomplete(status, reason)) => {
+                self.connection.reject(status, Reuse::Denied);
+                Err(reason)
+            }
             Err(RequestError::Close(reason)) => Err(reason),
         }
     }
@@ -199,7 +209,8 @@
             }
             arrives_unrequested = false;
             let packet_deadline_ms = self.connection.context.clock.now() + MESSAGE_TIMEOUT_MS;
-            let payload = self.read_packet(Some(deadline_ms.min(packet_deadline_ms))).await?;
+            let packet = self.read_packet(Some(deadline_ms.min(packet_deadline_ms))).await;
+            let payload = packet.map_err(|reason| self.incomplete(reason, deadline_ms))?;
             let data = body_data(&payload)?;
             if data.is_empty() && expected.is_none() {
                 break;
@@ -219,6 +230,22 @@
         Ok(body)
     }
 
+    /// The error of a request whose body is not complete when reading stops for `reason`.
+    fn incomplete(&self, reason: CloseReason, deadline_ms: f64) -> RequestError {
+        let is_overdue = self.connection.context.clock.now() >= deadline_ms;
+        match reason {
+            CloseReason::Finishing => RequestError::Incomplete(HttpStatus::SERVICE_UNAVAILABLE, reason),
+            CloseReason::Graceful(_) if is_overdue => {
+                RequestError::Incomplete(HttpStatus::GATEWAY_TIMEOUT, reason)
+            }
+            CloseReason::Graceful(_) => RequestError::Incomplete(HttpStatus::BAD_REQUEST, reason),
+            CloseReason::PeerClosed
+            | CloseReason::ProtocolError(_)
+            | CloseReason::WriteClosed(_)
+            | CloseReason::PeerGone(_) => RequestError::Close(reason),
+        }
+    }
+
     /// Completes when the core has answered. Meanwhile it keeps reading, only to detect that the web server
     /// disconnects: a web server has nothing to send before the answer.
     async fn await_answer(&mut self, correlation_id: u64) -> Result<(), CloseReason> {
@@ -292,16 +319,14 @@
         let _ = self.context.queue.send(gone).await;
     }
 
-    /// Answers a request that does not reach the core; returns `Err` if the connection ends.
-    fn reject(&self, status: HttpStatus, reuse: Reuse) -> Result<(), CloseReason> {
+    /// Answers a request that does not reach the core.
+    fn reject(&self, status: HttpStatus, reuse: Reuse) {
         count(&self.context.counters.bad_requests);
         self.state.count_answered();
+        let is_refused = status == HttpStatus::SERVICE_UNAVAILABLE;
+        let headers = if is_refused { rejection_headers(0.0, false) } else { Vec::new() };
         let stays_open = reuse == Reuse::Allowed && !self.state.is_going_away();
-        self.respond(status.0, Vec::new(), b"", Reuse::allowed_if(stays_open));
-        match reuse {
-            Reuse::Allowed => Ok(()),
-            Reuse::Denied => Err(CloseReason::Graceful("bad-request")),
-        }
+        self.respond(status.0, headers, b"", Reuse::allowed_if(stays_open));
     }
 
     fn respond(&self, status: u16, mut headers: Vec<(&str, String)>, body: &[u8], reuse: Reuse) {
--- a/src/server/frontend/ajp/request.rs
+++ b/src/server/frontend/ajp/request.rs
@@ -68,6 +68,8 @@
     pub const FORBIDDEN: HttpStatus = HttpStatus(403);
     pub const NOT_FOUND: HttpStatus = HttpStatus(404);
     pub const CONTENT_TOO_LARGE: HttpStatus = HttpStatus(413);
+    pub const SERVICE_UNAVAILABLE: HttpStatus = HttpStatus(503);
+    pub const GATEWAY_TIMEOUT: HttpStatus = HttpStatus(504);
 }
 
 /// The length of the body that follows a head.
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -484,6 +484,45 @@
     );
 }
 
+/// Guards against an AJP request without an answer: the connection was closed without one when the rest of a
+/// body, which the web server had been told to send, did not come in time.
+#[rstest]
+#[case::stalled_body(
+    "
+    ajp send /look secret=s3 transfer-encoding=chunked
+    ajp expect get *
+    ajp expect status 400 Content-Length=0 *
+    ajp expect end 0
+    ajp expect closed
+    node wait conn-ended conn=1 front=ajp reason=sender-stalled read=1 answered=1 *
+    node send TERM"
+)]
+#[case::deadline(
+    "
+    ajp send /look budget=300 secret=s3 body=later content-length=5
+    ajp expect status 504 Content-Length=0 *
+    ajp expect end 0
+    ajp expect closed
+    node send TERM"
+)]
+#[case::end_of_process(
+    "
+    node send TERM
+    node wait leaving *
+    node send clock=1700
+    ajp send /write token=k secret=s3 transfer-encoding=chunked
+    ajp expect get *
+    node send clock=2790
+    ajp expect status 503 Content-Length=0 Retry-After=1 *
+    ajp expect end 0
+    ajp expect closed"
+)]
+fn ajp_request_with_incomplete_body_is_answered(#[case] scenario: &str) {
+    let mut world = up(Options::default());
+    world.run(scenario);
+    world.run("node wait exit 0\nengine never RUN *");
+}
+
 /// The kill is near and runs are unfinished: each caller gets one complete answer, which no reset destroys,
 /// whatever else the caller sends.
 #[rstest]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -256,8 +256,10 @@
     rpc expect closed
     node wait conn-ended conn=1 front=rpc reason=sender-stalled *
     ajp send /look secret=s3 body=later content-length=10
+    ajp expect status 400 Content-Length=0 *
+    ajp expect end 0
     ajp expect closed
-    node wait conn-ended conn=3 front=ajp reason=sender-stalled *"
+    node wait conn-ended conn=3 front=ajp reason=sender-stalled read=1 answered=1 *"
 )]
 #[case::closes_connection_that_ignores_goaway(
     "
