Read all requests that a router may have open, however slowly it takes answers

What callers saw, in a test: of 31 requests sent one after the other by a router that read nothing meanwhile, those from the 27th on were not started, though 32 may be open on a connection.

Cause: PAUSE_READING_AT_BYTES was 64 KiB, the answers to 16 requests with the longest results.

Change: 144 KiB, more than the answers to 32 requests. The limit on all queued bytes of the process (an eighth of its memory) and the one on a single connection (256 KiB) stay as they are.

--- a/src/server/frontend/connection/write_half.rs
+++ b/src/server/frontend/connection/write_half.rs
@@ -14,8 +14,10 @@
 use crate::server::sync::{Latch, Notify};
 use crate::server::write_buffer::WriteBuffer;
 
-/// Number of queued bytes above which nothing is read from the connection.
-const PAUSE_READING_AT_BYTES: usize = 64 * 1024;
+/// Number of queued bytes above which nothing is read from the connection. More than the longest answers to
+/// as many requests as may be open: the requests of a caller within that limit are read, however slowly it
+/// takes its answers.
+const PAUSE_READING_AT_BYTES: usize = 144 * 1024;
 /// Number of queued bytes above which the connection is aborted because its reader is too slow.
 const MAX_QUEUED_BYTES: usize = 256 * 1024;
 /// Time without progress, while bytes are queued, after which the connection is aborted, ms.
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use rstest::rstest;
 use scenario::{Answer, Options, World, idle_gauges, rpc_request};
 use socket2::{Domain, Socket, Type};
 
@@ -141,12 +142,15 @@
     world.run("node wait exit 0");
 }
 
-/// Guards against requests that lie unread: a connection that was idle for too long stopped reading, untold,
-/// until its caller had taken all answers. The caller reads none for a while and sends one more request.
-#[test]
-fn reads_requests_while_answers_wait_for_caller() {
-    /// Answers that the program still queues without a pause of the reading, but the system does not take.
-    const ANSWERS: usize = 15;
+/// Guards against requests that lie unread until their caller has taken its answers, although it has no more
+/// requests open than it may. The caller reads nothing for a while and then sends one more request.
+///
+/// - `while_due_to_close`: the connection was idle for too long, and closes when its answers are written.
+/// - `behind_many_answers`: more was queued than the limit up to which the program read on.
+#[rstest]
+#[case::while_due_to_close(15)]
+#[case::behind_many_answers(31)]
+fn reads_requests_while_answers_wait_for_caller(#[case] answers: usize) {
     const SEGMENT_BYTES: u32 = 536;
     const RECEIVE_BUFFER_BYTES: usize = 2048;
     /// The connection is idle for longer than its timeout.
@@ -160,7 +164,7 @@
     socket.connect(&world.listen.into()).expect("the program listens");
     let mut caller = TcpStream::from(socket);
     caller.set_read_timeout(Some(Duration::from_secs(20))).expect("set a read timeout");
-    for id in 1..=ANSWERS {
+    for id in 1..=answers {
         let request = rpc_request(&format!("{id} look rid={id:x}|paper"));
         caller.write_all(&request).expect("send a request");
         world.run(&format!(
@@ -169,15 +173,16 @@
         ));
     }
     std::thread::sleep(IDLE);
-    caller.write_all(&rpc_request("16 look rid=ff|later")).expect("send one more request");
+    let last = answers + 1;
+    caller.write_all(&rpc_request(&format!("{last} look rid=ff|later"))).expect("send one more request");
     world.run(&format!(
         "engine expect RUN 00000000000000ff look|later
-         engine send DONE 16 00000000000000ff complete 1|{result}"
+         engine send DONE {last} 00000000000000ff complete 1|{result}"
     ));
     caller.shutdown(Shutdown::Write).expect("shut the writing half down");
     let mut received = Vec::new();
     caller.read_to_end(&mut received).expect("all answers");
-    assert_eq!(String::from_utf8_lossy(&received).matches(&result).count(), ANSWERS + 1);
+    assert_eq!(String::from_utf8_lossy(&received).matches(&result).count(), last);
 }
 
 /// An engine notice cut off at any byte counts as not received: the engine sends it again on the next link,
