Give slow senders as long for a message as the slowest routers take

What callers saw: a request that was written over 2 s, on a new connection or on one at rest, was cut off by a close after 1.5 s, each time.

Cause: one limit of 1.5 s for a silent new connection, the rest of a first message, the rest of a later one and a part of an AJP body. Only the first and the last have to be that short: silent crowds take descriptors, and a connection whose body is awaited cannot be evicted. Any other half-written connection gives way to a new one as an idle one does.

Change: 1.5 s for the first byte, 2.5 s for the first message (who sends nothing usable has to be closed within 3 s), 5 s for a later message from its first byte or the last answer; 1.5 s for a part of an AJP body as before. A first message that stalls is logged as sender-stalled, no longer as silent.

--- a/src/server/frontend/ajp/connection.rs
+++ b/src/server/frontend/ajp/connection.rs
@@ -15,12 +15,16 @@
 use super::response::{Response, Reuse, write_cpong, write_get_body_chunk, write_response};
 use crate::server::core::api::{Arrival, Caller, CoreInput, Reply};
 use crate::server::frontend::connection::{self, CloseReason, ReadHalf, WriteHalf};
-use crate::server::frontend::connection_state::{ConnectionState, MESSAGE_TIMEOUT_MS};
+use crate::server::frontend::connection_state::ConnectionState;
 use crate::server::frontend::context::FrontendContext;
 use crate::server::frontend::request_limits::MAX_BODY_BYTES;
 use crate::server::observability::counters::count;
 use crate::server::sync::Notify;
 
+/// Time within which a web server has to send the next part of a body, ms. Meanwhile its connection cannot be
+/// evicted for others.
+const BODY_PART_TIMEOUT_MS: f64 = 1500.0;
+
 /// Serves one connection to its end; returns the reason code of the end.
 pub async fn serve(
     stream: Rc<Async<TcpStream>>,
@@ -208,7 +212,7 @@
                 self.connection.writer.push(|out| write_get_body_chunk(out, max_bytes));
             }
             arrives_unrequested = false;
-            let packet_deadline_ms = self.connection.context.clock.now() + MESSAGE_TIMEOUT_MS;
+            let packet_deadline_ms = self.connection.context.clock.now() + BODY_PART_TIMEOUT_MS;
             let packet = self.read_packet(Some(deadline_ms.min(packet_deadline_ms))).await;
             let payload = packet.map_err(|reason| self.incomplete(reason, deadline_ms))?;
             let data = body_data(&payload)?;
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -9,10 +9,16 @@
 
 use crate::server::sync::Notify;
 
-/// Time within which a new connection has to deliver its first complete message, and a connection without a
-/// request in flight the rest of a partial message, ms. A router connects when it has something to send; a
-/// silent connection must be closed within 3 s.
-pub const MESSAGE_TIMEOUT_MS: f64 = 1500.0;
+/// Time within which a new connection has to deliver anything, ms. A router connects when it has something to
+/// send.
+const SILENCE_TIMEOUT_MS: f64 = 1500.0;
+/// Time within which a new connection has to deliver its first complete message if it has delivered a part of
+/// it, ms. Some routers take over 2 s to write a request, and a caller that sends nothing usable must be closed
+/// within 3 s.
+const FIRST_MESSAGE_TIMEOUT_MS: f64 = 2500.0;
+/// Time within which a connection without a request in flight has to deliver the rest of a later message, ms:
+/// more than the slowest routers take.
+const PARTIAL_MESSAGE_TIMEOUT_MS: f64 = 5000.0;
 /// Idle time after the go-away notification after which this process closes a connection, ms. A notified
 /// router closes it earlier; a connection that stays open would occupy its descriptor forever.
 pub const GO_AWAY_TIMEOUT_MS: f64 = 1000.0;
@@ -215,16 +221,20 @@
     /// which no other can arrive, did not keep it open.
     fn close_timer(&self, caller_idle_timeout_ms: f64) -> CloseTimer {
         let start_ms = self.timeout_start_ms();
-        if !self.received_message.get() {
-            return CloseTimer { start_ms, timeout_ms: MESSAGE_TIMEOUT_MS, reason: "silent" };
-        }
-        if let Some(since_ms) = self.partial_since_ms.get() {
-            let start_ms = since_ms.max(self.last_active_ms.get());
-            return CloseTimer { start_ms, timeout_ms: MESSAGE_TIMEOUT_MS, reason: "sender-stalled" };
-        }
-        match self.go_away.get() {
-            Some(GoAway { timeout_ms, .. }) => CloseTimer { start_ms, timeout_ms, reason: "told-to-go" },
-            None => CloseTimer { start_ms, timeout_ms: caller_idle_timeout_ms, reason: "idle" },
+        match (self.received_message.get(), self.partial_since_ms.get(), self.go_away.get()) {
+            (false, None, _) => CloseTimer { start_ms, timeout_ms: SILENCE_TIMEOUT_MS, reason: "silent" },
+            (false, Some(_), _) => {
+                CloseTimer { start_ms, timeout_ms: FIRST_MESSAGE_TIMEOUT_MS, reason: "sender-stalled" }
+            }
+            (true, Some(since_ms), _) => CloseTimer {
+                start_ms: since_ms.max(self.last_active_ms.get()),
+                timeout_ms: PARTIAL_MESSAGE_TIMEOUT_MS,
+                reason: "sender-stalled",
+            },
+            (true, None, Some(go_away)) => {
+                CloseTimer { start_ms, timeout_ms: go_away.timeout_ms, reason: "told-to-go" }
+            }
+            (true, None, None) => CloseTimer { start_ms, timeout_ms: caller_idle_timeout_ms, reason: "idle" },
         }
     }
 }
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -279,6 +279,47 @@
     up(Options::default()).run(scenario);
 }
 
+/// Guards against requests that are cut off by a time limit: some routers take over 2 s to write a request, and
+/// the connection was closed after 1.5 s. `rpc2` and `rpc3` send nothing, and are closed 1.5 s after they connect.
+#[rstest]
+#[case::first_message(
+    "
+    rpc send cut=40 1 look rid=a1 t0=1500|paper
+    rpc2 expect closed
+    rpc send rest
+    rpc expect [1 1 nil [report *"
+)]
+#[case::at_rest(
+    "
+    rpc send 1 ping
+    rpc expect [1 1 nil *
+    rpc send cut=40 2 look rid=a1 t0=3000|paper
+    rpc2 expect closed
+    rpc3 expect closed
+    rpc send rest
+    rpc expect [1 2 nil [report *"
+)]
+#[case::ajp_first_message(
+    "
+    ajp send cut=40 /look secret=s3|paper
+    rpc2 expect closed
+    ajp send rest
+    ajp expect status 200 *"
+)]
+#[case::ajp_at_rest(
+    "
+    ajp send ping
+    ajp expect cpong
+    ajp send cut=40 /look secret=s3|paper
+    rpc2 expect closed
+    rpc3 expect closed
+    ajp send rest
+    ajp expect status 200 *"
+)]
+fn answers_request_that_is_written_slowly(#[case] scenario: &str) {
+    up_with_instant_runs(Options::default()).run(scenario);
+}
+
 /// A sender that never goes on: its connection is closed once the request beside the partial message is
 /// answered and the time limit of that message is over, in a drain, too.
 #[rstest]
