Move the tests of slow senders into a file of their own, with shared start-up steps

The tests of slowly written and incomplete messages are in tests/slow_senders.rs; `up`, `up_with_instant_runs` and `instant_engine` are in the scenario module. No test and no check changes.

--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -7,44 +7,12 @@
 use std::net::TcpListener;
 
 use rstest::rstest;
-use scenario::{Options, World, idle_gauges, rpc_request};
-
-const UP: &str = "
-engine expect ATTACH 0
-engine send HELLO hot 5000
-members wait HB n1 UP";
+use scenario::{ENGINE_UP, Options, World, idle_gauges, rpc_request, up, up_with_instant_runs};
 
 fn start(options: Options) -> World {
     World::start_with(Box::new(idle_gauges), scenario::service(Box::new(|_| Vec::new())), options)
 }
 
-/// A world whose engine ends every run at once.
-fn up_with_instant_runs(options: Options) -> World {
-    let mut notice_id = 0;
-    let engine = move |text: &str| {
-        let words: Vec<&str> = text.split([' ', '|']).collect();
-        match words.as_slice() {
-            ["ATTACH", _] => vec!["HELLO hot 9000".into()],
-            ["RUN", rid, ..] => {
-                notice_id += 1;
-                vec![format!("DONE {notice_id} {rid} complete 1|report")]
-            }
-            ["STAT", tag] => vec![format!("STATS {tag} 0.1 0 0.1 3")],
-            _ => vec!["NOTE 0 read".into()],
-        }
-    };
-    let store = scenario::service(Box::new(|_| Vec::new()));
-    let mut world = World::start_with(Box::new(engine), store, options);
-    world.run("members wait HB n1 UP");
-    world
-}
-
-fn up(options: Options) -> World {
-    let mut world = start(options);
-    world.run(UP);
-    world
-}
-
 // ---- connections ----
 
 #[rstest]
@@ -184,163 +152,6 @@
     up(Options { idle_ms: 400, ..Options::default() }).run(scenario);
 }
 
-/// Guards against requests that are never read: after the time limit of a partial message the program stopped
-/// reading, untold, although a request was open, and closed once that was answered.
-#[rstest]
-#[case::while_serving(
-    "
-    rpc send 1 look rid=a1|long
-    engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=2000|slow
-    node send clock=2000
-    rpc send cut=20 hex=
-    node send clock=2000
-    rpc send rest
-    engine expect RUN 00000000000000a2 look|slow
-    rpc send 3 write rid=a3 token=k t0=2000|paper
-    engine expect RUN 00000000000000a3 write|paper
-    engine send DONE 1 00000000000000a1 complete 12|one
-    rpc expect [1 1 nil [one *
-    engine send DONE 2 00000000000000a3 complete 12|receipt
-    rpc expect [1 3 nil [receipt *
-    engine send DONE 3 00000000000000a2 complete 12|two
-    rpc expect [1 2 nil [two *"
-)]
-#[case::answered_before_message_is_complete(
-    "
-    rpc send 1 look rid=a1|long
-    engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=2000|slow
-    node send clock=2000
-    rpc send cut=20 hex=
-    node send clock=2000
-    engine send DONE 1 00000000000000a1 complete 12|one
-    rpc expect [1 1 nil [one *
-    rpc send rest
-    engine expect RUN 00000000000000a2 look|slow
-    engine send DONE 2 00000000000000a2 complete 12|two
-    rpc expect [1 2 nil [two *"
-)]
-#[case::abort_of_open_request(
-    "
-    rpc send 1 look rid=a1|long
-    engine expect RUN 00000000000000a1 look|long
-    rpc send cut=5 1 abort
-    node send clock=2000
-    rpc send cut=1 hex=
-    node send clock=2000
-    rpc send rest
-    rpc send 2 look rid=a2 t0=2000|later
-    engine wait RUN 00000000000000a2 look|later
-    engine send DONE 1 00000000000000a2 complete 12|two
-    rpc expect [1 2 nil [two *"
-)]
-#[case::after_goaway(
-    "
-    rpc send 1 look rid=a1|long
-    engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=1700|slow
-    node send TERM
-    node wait leaving *
-    node send clock=1700
-    rpc expect [2 goaway []]
-    rpc send cut=20 hex=
-    node send clock=1700
-    rpc send rest
-    engine expect RUN 00000000000000a2 look|slow
-    engine send DONE 1 00000000000000a2 complete 12|two
-    rpc expect [1 2 nil [two *
-    engine send DONE 2 00000000000000a1 complete 12|one
-    rpc expect [1 1 nil [one *
-    rpc shut
-    rpc expect closed
-    node wait exit 0"
-)]
-#[case::while_closing(
-    "
-    rpc send 1 look rid=a1|long
-    engine expect RUN 00000000000000a1 look|long
-    node send TERM
-    node wait leaving *
-    rpc send cut=40 2 look rid=a2 t0=2100|slow
-    node send clock=2100
-    rpc expect [2 goaway []]
-    rpc send cut=20 hex=
-    node send clock=2100
-    rpc send rest
-    rpc expect [1 2 [Busy *] nil]
-    engine send DONE 1 00000000000000a1 complete 12|one
-    rpc expect [1 1 nil [one *
-    rpc shut
-    rpc expect closed
-    node wait exit 0"
-)]
-fn reads_on_behind_slow_message_beside_open_request(#[case] scenario: &str) {
-    up(Options::default()).run(scenario);
-}
-
-/// Guards against requests that are cut off by a time limit: some routers take over 2 s to write a request, and
-/// the connection was closed after 1.5 s. `rpc2` and `rpc3` send nothing, and are closed 1.5 s after they connect.
-#[rstest]
-#[case::first_message(
-    "
-    rpc send cut=40 1 look rid=a1 t0=1500|paper
-    rpc2 expect closed
-    rpc send rest
-    rpc expect [1 1 nil [report *"
-)]
-#[case::at_rest(
-    "
-    rpc send 1 ping
-    rpc expect [1 1 nil *
-    rpc send cut=40 2 look rid=a1 t0=3000|paper
-    rpc2 expect closed
-    rpc3 expect closed
-    rpc send rest
-    rpc expect [1 2 nil [report *"
-)]
-#[case::ajp_first_message(
-    "
-    ajp send cut=40 /look secret=s3|paper
-    rpc2 expect closed
-    ajp send rest
-    ajp expect status 200 *"
-)]
-#[case::ajp_at_rest(
-    "
-    ajp send ping
-    ajp expect cpong
-    ajp send cut=40 /look secret=s3|paper
-    rpc2 expect closed
-    rpc3 expect closed
-    ajp send rest
-    ajp expect status 200 *"
-)]
-fn answers_request_that_is_written_slowly(#[case] scenario: &str) {
-    up_with_instant_runs(Options::default()).run(scenario);
-}
-
-/// A sender that never goes on: its connection is closed once the request beside the partial message is
-/// answered and the time limit of that message is over, in a drain, too.
-#[rstest]
-#[case::while_serving("", "sender-stalled")]
-#[case::after_goaway(
-    "node send TERM\nnode wait leaving *\nnode send clock=1700\nrpc expect [2 goaway []]",
-    "s*"
-)]
-fn closes_stalled_connection_after_last_answer(#[case] drain: &str, #[case] reason: &str) {
-    up(Options::default()).run(&format!(
-        "rpc send 1 look rid=a1|long
-         engine expect RUN 00000000000000a1 look|long
-         rpc send cut=40 2 look rid=a2|slow
-         {drain}
-         engine send DONE 1 00000000000000a1 complete 12|one
-         rpc expect [1 1 nil [one *
-         rpc expect closed
-         node wait conn-ended conn=1 front=rpc reason={reason} read=1 answered=1 *"
-    ));
-}
-
 /// More requests than may be in flight: every request that was read is answered, and the connection ends in
 /// order.
 #[test]
@@ -525,45 +336,6 @@
     );
 }
 
-/// Guards against an AJP request without an answer: the connection was closed without one when the rest of a
-/// body, which the web server had been told to send, did not come in time.
-#[rstest]
-#[case::stalled_body(
-    "
-    ajp send /look secret=s3 transfer-encoding=chunked
-    ajp expect get *
-    ajp expect status 400 Content-Length=0 *
-    ajp expect end 0
-    ajp expect closed
-    node wait conn-ended conn=1 front=ajp reason=sender-stalled read=1 answered=1 *
-    node send TERM"
-)]
-#[case::deadline(
-    "
-    ajp send /look budget=300 secret=s3 body=later content-length=5
-    ajp expect status 504 Content-Length=0 *
-    ajp expect end 0
-    ajp expect closed
-    node send TERM"
-)]
-#[case::end_of_process(
-    "
-    node send TERM
-    node wait leaving *
-    node send clock=1700
-    ajp send /write token=k secret=s3 transfer-encoding=chunked
-    ajp expect get *
-    node send clock=2790
-    ajp expect status 503 Content-Length=0 Retry-After=1 *
-    ajp expect end 0
-    ajp expect closed"
-)]
-fn ajp_request_with_incomplete_body_is_answered(#[case] scenario: &str) {
-    let mut world = up(Options::default());
-    world.run(scenario);
-    world.run("node wait exit 0\nengine never RUN *");
-}
-
 /// The kill is near and runs are unfinished: each caller gets one complete answer, which no reset destroys,
 /// whatever else the caller sends.
 #[rstest]
@@ -660,7 +432,7 @@
 fn invalid_reload_during_start_changes_nothing() {
     let mut world = start_with_early_signals(&["HUP", "USR1", "HUP"], "cut-off");
     world.run("node wait reload-failed addresses=kept *");
-    world.run(UP);
+    world.run(ENGINE_UP);
 }
 
 #[rstest]
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -10,31 +10,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use scenario::{Answer, Options, World, idle_gauges, rpc_request};
+use scenario::{Answer, ENGINE_UP, Options, World, idle_gauges, instant_engine, rpc_request};
 use socket2::{Domain, Socket, Type};
 
-const UP: &str = "
-engine expect ATTACH 0
-engine send HELLO hot 5000
-members wait HB n1 UP";
-
-/// An engine that ends every run at once with this result.
-fn instant_engine(result: String) -> Answer {
-    let mut notice = 0;
-    Box::new(move |text: &str| {
-        let words: Vec<&str> = text.split([' ', '|']).collect();
-        match words.as_slice() {
-            ["ATTACH", _] => vec!["HELLO hot 9000".into()],
-            ["RUN", rid, ..] => {
-                notice += 1;
-                vec![format!("DONE {notice} {rid} complete 1|{result}")]
-            }
-            ["STAT", tag] => vec![format!("STATS {tag} 0.1 0 0.1 3")],
-            _ => vec!["NOTE 0 read".into()],
-        }
-    })
-}
-
 fn start_with(engine: Answer, options: Options) -> World {
     let mut world = World::start_with(engine, scenario::service(Box::new(|_| Vec::new())), options);
     world.run("members wait HB n1 UP");
@@ -192,7 +170,7 @@
     let whole = "DONE 1 0000000000000001 complete 12 6\r\nreport\r\n";
     let store = scenario::service(Box::new(|_| Vec::new()));
     let mut world = World::start_with(Box::new(idle_gauges), store, Options::default());
-    world.run(UP);
+    world.run(ENGINE_UP);
     for at in 1..whole.len() {
         let (before, rid) = (at - 1, format!("{at:0>16}"));
         world.run(&format!(
@@ -217,7 +195,7 @@
     let whole = "0000000000000001 OK 4\r\nthat\r\n";
     let store = scenario::service(Box::new(|_| Vec::new()));
     let mut world = World::start_with(Box::new(idle_gauges), store, Options::default());
-    world.run(UP);
+    world.run(ENGINE_UP);
     for at in 1..whole.len() {
         let rid = format!("{at:0>16}");
         world.run(&format!(
--- a/tests/reload_program.rs
+++ b/tests/reload_program.rs
@@ -3,16 +3,11 @@
 
 mod scenario;
 
-use scenario::World;
-
-const UP: &str = "
-engine expect ATTACH 0
-engine send HELLO hot 5000
-members wait HB n1 UP";
+use scenario::{ENGINE_UP, World};
 
 fn world() -> World {
     let mut world = World::start(Box::new(scenario::idle_gauges), Box::new(|_| Vec::new()));
-    world.run(UP);
+    world.run(ENGINE_UP);
     world
 }
 
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -4,12 +4,7 @@
 mod scenario;
 
 use rstest::rstest;
-use scenario::{Options, World, idle_gauges};
-
-const UP: &str = "
-engine expect ATTACH 0
-engine send HELLO hot 5000
-members wait HB n1 UP";
+use scenario::{ENGINE_UP, Options, World, idle_gauges};
 
 /// Starts a site whose dedup window of 900 ms is far shorter than its deadline of 9 s.
 fn start_site(memory_mb: f64) -> World {
@@ -17,7 +12,7 @@
     let store = scenario::service(Box::new(|_| Vec::new()));
     let options = Options { settings, memory_mb, ..Options::default() };
     let mut world = World::start_with(Box::new(idle_gauges), store, options);
-    world.run(UP);
+    world.run(ENGINE_UP);
     world
 }
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -70,3 +70,35 @@
 fn base_ms() -> u64 {
     BASE_MS.with(|ms| *ms)
 }
+
+/// A world whose engine is up; the scenario ends its runs.
+pub fn up(options: Options) -> World {
+    let mut world = World::start_with(Box::new(idle_gauges), service(Box::new(|_| Vec::new())), options);
+    world.run(ENGINE_UP);
+    world
+}
+
+/// A world whose engine ends every run at once.
+pub fn up_with_instant_runs(options: Options) -> World {
+    let engine = instant_engine("report".into());
+    let mut world = World::start_with(engine, service(Box::new(|_| Vec::new())), options);
+    world.run("members wait HB n1 UP");
+    world
+}
+
+/// An engine that ends every run at once with this result.
+pub fn instant_engine(result: String) -> Answer {
+    let mut notice_id = 0;
+    Box::new(move |text: &str| {
+        let words: Vec<&str> = text.split([' ', '|']).collect();
+        match words.as_slice() {
+            ["ATTACH", _] => vec!["HELLO hot 9000".into()],
+            ["RUN", rid, ..] => {
+                notice_id += 1;
+                vec![format!("DONE {notice_id} {rid} complete 1|{result}")]
+            }
+            ["STAT", tag] => vec![format!("STATS {tag} 0.1 0 0.1 3")],
+            _ => vec!["NOTE 0 read".into()],
+        }
+    })
+}
