Split the reading side of an AJP connection from the connection itself

ajp/connection.rs held the parsing of requests from the input, with its limits, and the connection that the core answers. The first is ajp/request_reader.rs now.

--- a/src/server/frontend/ajp/mod.rs
+++ b/src/server/frontend/ajp/mod.rs
@@ -1,11 +1,12 @@
 //! The AJP13 frontend, for web servers that forward to a container. `packet` implements the framing,
-//! `request` parses the head of a request, `response` writes the answers, and `connection` handles one
-//! connection. The frontend decides nothing about a request: a request with a complete head and body goes to
+//! `request` parses the head of a request, `response` writes the answers, `request_reader` reads the requests
+//! of one connection, and `connection` is that connection for the core. The frontend decides nothing about a request: a request with a complete head and body goes to
 //! the core, an incomplete one does not.
 
 mod connection;
 mod packet;
 mod request;
+mod request_reader;
 mod response;
 
 pub use connection::serve;
