--- a/crates/pinepoint-lab/src/operation/deployment.rs
+++ b/crates/pinepoint-lab/src/operation/deployment.rs
@@ -26,12 +26,13 @@
 /// Environment variable with the management address.
 const MANAGEMENT_VARIABLE: &str = "RELAY_MANAGEMENT";
 
-/// Settings with the request classes of [`super::client`]. `WINDOW` is replaced by the deduplication window
-/// of the keyed class in ms, `CORES` by the cores of the engine.
+/// Settings with the request classes of [`super::client`]. `DEADLINE` is replaced by the deadline of all
+/// classes and `WINDOW` by the deduplication window of the keyed class, in ms, `CORES` by the cores of the
+/// engine.
 const SETTINGS: &str = r#"{"services":[
- {"name":"look","effect":"read_like","promiseMs":1000,"deadlineMs":2500,"worth":1},
- {"name":"lookup","effect":"read_like","promiseMs":1000,"deadlineMs":2500,"worth":1},
- {"name":"write","effect":"idempotency_key","keyTtlMs":WINDOW,"promiseMs":1000,"deadlineMs":2500,"worth":3}],
+ {"name":"look","effect":"read_like","promiseMs":1000,"deadlineMs":DEADLINE,"worth":1},
+ {"name":"lookup","effect":"read_like","promiseMs":1000,"deadlineMs":DEADLINE,"worth":1},
+ {"name":"write","effect":"idempotency_key","keyTtlMs":WINDOW,"promiseMs":1000,"deadlineMs":DEADLINE,"worth":3}],
  "contract":{"answerSlackMs":100,"drainGraceMs":500,"fallMultiple":8,"tipAfterMs":3000},
  "ceilings":{"retryAfter":true,"maxRetryAfterMs":1000},
  "specifics":{"cores":CORES,"heapKb":200000,"runFactor":4,"keyKb":5,"preemption":"drop","signal":"weight",
@@ -52,6 +53,8 @@
     pub sockets: u32,
     /// Deduplication window of the keyed class.
     pub key_window: Duration,
+    /// Deadline of all classes.
+    pub deadline: Duration,
     /// `$TMPDIR` of the processes; `None` for a directory of the deployment.
     pub temp_dir: Option<PathBuf>,
     /// Where the processes send load reports; `None` for the service registry of the deployment.
@@ -66,6 +69,7 @@
             stop_timeout: Duration::from_millis(3200),
             sockets: 256,
             key_window: Duration::from_secs(20),
+            deadline: Duration::from_millis(2500),
             temp_dir: None,
             members: None,
         }
@@ -165,9 +169,10 @@
     }
 
     fn configuration(&self, engine: &Engine, management: Option<SocketAddr>) -> String {
-        let Setup { stop_timeout, sockets, key_window, members, .. } = &self.setup;
+        let Setup { stop_timeout, sockets, key_window, deadline, members, .. } = &self.setup;
         let settings = SETTINGS
             .replace("CORES", &CORES.to_string())
+            .replace("DEADLINE", &deadline.as_millis().to_string())
             .replace("WINDOW", &key_window.as_millis().to_string());
         let (listen, engine, store) = (self.listen, engine.address, self.store.address);
         let members = members.unwrap_or(self.registry.address);
--- a/tests/slow_senders.rs
+++ b/tests/slow_senders.rs
@@ -7,20 +7,29 @@
 use rstest::rstest;
 use scenario::{Options, up, up_with_instant_runs};
 
+/// Replaces the latency objective and the deadline of reads by longer ones, so that a request is still worth an
+/// answer after the time limits of partial messages.
+const AMPLE_OBJECTIVE: (&str, &str) = (
+    r#"{"name":"look","effect":"read_like","promiseMs":3000,"deadlineMs":9000,"#,
+    r#"{"name":"look","effect":"read_like","promiseMs":60000,"deadlineMs":90000,"#,
+);
+
 /// Guards against requests that are never read: after the time limit of a partial message the program stopped
-/// reading, untold, although a request was open, and closed once that was answered.
+/// reading, untold, although a request was open, and closed once that was answered. The clock is set ahead by more
+/// than any of these limits; `clock=0` waits until the part before it is read.
 #[rstest]
 #[case::while_serving(
     "
-    rpc send 1 look rid=a1|long
+    rpc send 1 look rid=a1 est=1500|long
     engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=2000|slow
-    node send clock=2000
+    rpc send cut=40 2 look rid=a2 t0=6000|slow
+    node send clock=0
+    node send clock=6000
     rpc send cut=20 hex=
-    node send clock=2000
+    node send clock=6000
     rpc send rest
     engine expect RUN 00000000000000a2 look|slow
-    rpc send 3 write rid=a3 token=k t0=2000|paper
+    rpc send 3 write rid=a3 token=k t0=6000|paper
     engine expect RUN 00000000000000a3 write|paper
     engine send DONE 1 00000000000000a1 complete 12|one
     rpc expect [1 1 nil [one *
@@ -31,12 +40,13 @@
 )]
 #[case::answered_before_message_is_complete(
     "
-    rpc send 1 look rid=a1|long
+    rpc send 1 look rid=a1 est=1500|long
     engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=2000|slow
-    node send clock=2000
+    rpc send cut=40 2 look rid=a2 t0=6000|slow
+    node send clock=0
+    node send clock=6000
     rpc send cut=20 hex=
-    node send clock=2000
+    node send clock=6000
     engine send DONE 1 00000000000000a1 complete 12|one
     rpc expect [1 1 nil [one *
     rpc send rest
@@ -46,29 +56,32 @@
 )]
 #[case::abort_of_open_request(
     "
-    rpc send 1 look rid=a1|long
+    rpc send 1 look rid=a1 est=1500|long
     engine expect RUN 00000000000000a1 look|long
     rpc send cut=5 1 abort
-    node send clock=2000
+    node send clock=0
+    node send clock=6000
     rpc send cut=1 hex=
-    node send clock=2000
+    node send clock=6000
     rpc send rest
-    rpc send 2 look rid=a2 t0=2000|later
+    rpc send 2 look rid=a2 t0=6000|later
     engine wait RUN 00000000000000a2 look|later
     engine send DONE 1 00000000000000a2 complete 12|two
     rpc expect [1 2 nil [two *"
 )]
 #[case::after_goaway(
     "
-    rpc send 1 look rid=a1|long
+    rpc send 1 look rid=a1 est=1500|long
     engine expect RUN 00000000000000a1 look|long
-    rpc send cut=40 2 look rid=a2 t0=1700|slow
+    rpc send cut=40 2 look rid=a2 t0=7000|slow
+    node send clock=0
+    node send clock=5300
     node send TERM
     node wait leaving *
-    node send clock=1700
+    node send clock=7000
     rpc expect [2 goaway []]
     rpc send cut=20 hex=
-    node send clock=1700
+    node send clock=7000
     rpc send rest
     engine expect RUN 00000000000000a2 look|slow
     engine send DONE 1 00000000000000a2 complete 12|two
@@ -79,6 +92,7 @@
     rpc expect closed
     node wait exit 0"
 )]
+// The time from the notice to the kill is shorter than the present limit of a later message.
 #[case::while_closing(
     "
     rpc send 1 look rid=a1|long
@@ -99,7 +113,7 @@
     node wait exit 0"
 )]
 fn reads_on_behind_slow_message_beside_open_request(#[case] scenario: &str) {
-    up(Options::default()).run(scenario);
+    up(Options { settings: vec![AMPLE_OBJECTIVE], ..Options::default() }).run(scenario);
 }
 
 /// Guards against requests that are cut off by a time limit: some routers take over 2 s to write a request, and
--- a/tests/upgrade/connections.rs
+++ b/tests/upgrade/connections.rs
@@ -8,7 +8,9 @@
 /// Pause in the middle of a message. A draining process waits longer than this for the rest of a message.
 const REST_OF_MESSAGE: Duration = Duration::from_millis(30);
 /// Pause in the middle of a message for which a connection without an open request would be closed.
-const LONG_PAUSE: Duration = Duration::from_millis(1600);
+const LONG_PAUSE: Duration = Duration::from_millis(5300);
+/// A deadline that is longer than this pause: the request beside the slow one stays open.
+const LONG_DEADLINE: Duration = Duration::from_secs(9);
 
 #[test]
 fn idle_connection_receives_goaway() {
@@ -52,7 +54,7 @@
 /// reading in a predecessor, too.
 #[test]
 fn request_written_slowly_beside_running_request_is_answered_by_predecessor() {
-    let deployment = deployment();
+    let deployment = deployment_of(Setup { deadline: LONG_DEADLINE, ..setup() });
     let mut predecessor = start_ready(&deployment, commanded_engine());
     let client = connect(&deployment);
     let running = start_run(&predecessor, &client, &Request::read("paper"));
